Add the workspace, the design page and the core types

Cause: the repository is empty; every module needs the folders, the core types and the interfaces between the packages before it can be built beside the others.

Ruled out: ownership leases in the platform's store (they cannot be renewed while a data centre is partitioned) and hashing keys over a membership view (views differ during a partition).

Before: nothing.

Conclusion: modules can be written side by side against these headers.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Entry points of the repository. `make demo` and `make check` work on a fresh Debian 12 machine as root.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+.PHONY: all packages configure build format-check lint test check demo measure soak
+
+all: build
+
+packages:
+	@tools/install-packages
+
+configure: packages
+	@cmake -S . -B $(BUILD) -G Ninja -DSESAMESPAR_WERROR=ON $(CMAKE_FLAGS) > $(BUILD).configure.log 2>&1 \
+		|| { cat $(BUILD).configure.log; exit 1; }
+
+build: configure
+	@cmake --build $(BUILD) -j $(JOBS)
+
+format-check: packages
+	@tools/check-format
+
+lint: configure
+	@BUILD=$(BUILD) JOBS=$(JOBS) tools/lint
+
+test: build
+	@ctest --test-dir $(BUILD) --output-on-failure
+
+check: build format-check lint test
--- /dev/null
+++ b/apps/sesamespar/main.cpp
@@ -0,0 +1,6 @@
+// The command of operators and callers.
+
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/packages/connection/codec.cpp
@@ -0,0 +1,1 @@
+#include "connection/codec.h"
--- /dev/null
+++ b/packages/connection/codec.h
@@ -0,0 +1,53 @@
+// Encoding of messages: JSON for callers, workers and the store; msgpack between daemons. Decoders check
+// types, lengths and ranges and never throw.
+#pragma once
+
+#include "base/result.h"
+#include "connection/peer_message.h"
+#include "connection/store_api.h"
+#include "connection/worker_api.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sesamespar {
+
+/// Encodes a message between daemons, with the protocol version in front.
+std::string encodePeerMessage(const peer_message &message);
+
+/// Decodes a message between daemons. Errors: InvalidInput for anything malformed or of another version.
+result<peer_message> decodePeerMessage(std::string_view bytes);
+
+/// Encodes a call to a worker as JSON. The path follows from the type.
+std::string encodeWorkerRequest(const worker_request &request);
+
+/// HTTP path of a call to a worker.
+std::string workerRequestPath(const worker_request &request);
+
+/// Decodes a call by its path, for stand-ins of workers.
+result<worker_request> decodeWorkerRequest(std::string_view path, std::string_view json);
+
+/// Encodes a worker's answer as JSON.
+std::string encodeWorkerReply(const worker_reply &reply);
+
+/// Decodes the answer to a call of the same alternative as `request`.
+result<worker_reply> decodeWorkerReply(const worker_request &request, std::string_view json);
+
+/// Encodes and decodes a job request: {team, key, work, expires, tasks, payload, wait_ms}.
+std::string encodeSubmitRequest(const submit_request &request);
+result<submit_request> decodeSubmitRequest(std::string_view json);
+
+/// Encodes and decodes an answer: {status, team, key, reason, retry_after_ms, tasks}.
+std::string encodeJobAnswer(const job_answer &answer);
+result<job_answer> decodeJobAnswer(std::string_view json);
+
+/// Encodes and decodes the VM list: {revision, vms: [{name, worker, data_centre, rack, state}]}.
+std::string encodeVmList(const vm_list &list);
+result<vm_list> decodeVmList(std::string_view json);
+
+/// Encodes and decodes job records as an archive segment (msgpack).
+std::string encodeRecords(const std::vector<job_record> &records);
+result<std::vector<job_record>> decodeRecords(std::string_view bytes);
+
+} // namespace sesamespar
--- /dev/null
+++ b/packages/connection/front_end.cpp
@@ -0,0 +1,1 @@
+#include "connection/front_end.h"
--- /dev/null
+++ b/packages/connection/outgoing_calls.cpp
@@ -0,0 +1,1 @@
+#include "connection/outgoing_calls.h"
--- /dev/null
+++ b/packages/connection/outgoing_calls.h
@@ -0,0 +1,47 @@
+// Calls to workers and to the store over the HTTP client library. Every call ends in bounded time with a
+// reply or an error that tells whether it may have taken effect.
+#pragma once
+
+#include "base/result.h"
+#include "connection/store_api.h"
+#include "connection/worker_api.h"
+
+#include <functional>
+#include <memory>
+
+namespace sesamespar {
+
+/// Pools of connections to workers and the store.
+struct outgoing_calls;
+
+/// Called once on a traffic thread. Errors: Unreachable if the call was certainly not sent (connection
+/// refused), Unknown if it may have taken effect (timeout, connection lost, status 5xx), InvalidInput
+/// if the answer was malformed, Overloaded if the store refused it for its rate (status 429).
+using worker_done = std::function<void(result<worker_reply>)>;
+using store_done = std::function<void(result<store_reply>)>;
+
+/// Traffic so far, bodies only.
+struct call_traffic {
+    std::uint64_t calls = 0;
+    std::uint64_t bytesSent = 0;
+    std::uint64_t bytesReceived = 0;
+};
+
+/// Makes the pools. `store` is the address of the platform's store.
+std::shared_ptr<outgoing_calls> makeOutgoingCalls(const address &store);
+
+/// Calls a worker. The limit covers the whole call, the long-poll wait included.
+void callWorker(
+    outgoing_calls &calls, const address &worker, const worker_request &request, milliseconds limit, worker_done done);
+
+/// Calls the store.
+void callStore(outgoing_calls &calls, const store_request &request, milliseconds limit, store_done done);
+
+/// Traffic with workers and with the store.
+call_traffic workerTraffic(const outgoing_calls &calls);
+call_traffic storeTraffic(const outgoing_calls &calls);
+
+/// Cancels what is under way and waits until no callback runs or follows.
+void stopOutgoingCalls(outgoing_calls &calls);
+
+} // namespace sesamespar
--- /dev/null
+++ b/packages/connection/peer_links.h
@@ -0,0 +1,43 @@
+// Links to the other daemons over nng: one pull socket to listen on, one push socket to each peer.
+// Sending never blocks; each link holds a bounded number of messages and drops new ones when it is full.
+#pragma once
+
+#include "base/result.h"
+#include "connection/peer_message.h"
+#include "version/daemon_settings.h"
+
+#include <functional>
+#include <memory>
+
+namespace sesamespar {
+
+/// Called on a traffic thread for each well-formed message.
+using peer_sink = std::function<void(peer_message)>;
+
+/// The running links.
+struct peer_links;
+
+/// Bytes and messages that went over all links, and messages dropped because a link was full.
+struct peer_traffic {
+    std::uint64_t bytesSent = 0;
+    std::uint64_t bytesReceived = 0;
+    std::uint64_t messagesSent = 0;
+    std::uint64_t messagesReceived = 0;
+    std::uint64_t messagesDropped = 0;
+    std::uint64_t messagesMalformed = 0;
+};
+
+/// Listens on settings.peerAddress and dials all peers in the background; unreachable ones are dialled
+/// again with backoff. Errors: InvalidInput if the address cannot be bound.
+result<std::shared_ptr<peer_links>> startPeerLinks(const daemon_settings &settings, peer_sink sink);
+
+/// Sends a message to a peer if its link has room. May be called from any thread.
+void sendPeer(peer_links &links, const daemon_id &peer, const peer_message &message);
+
+/// Traffic so far.
+peer_traffic peerTraffic(const peer_links &links);
+
+/// Closes all sockets. No call of the sink is under way or follows after it returns.
+void stopPeerLinks(peer_links &links);
+
+} // namespace sesamespar
--- /dev/null
+++ b/packages/connection/peer_message.cpp
@@ -0,0 +1,1 @@
+#include "connection/peer_message.h"
--- /dev/null
+++ b/packages/connection/peer_message.h
@@ -0,0 +1,89 @@
+// What daemons say to each other. Messages go one way and may be lost, doubled or reordered; whoever
+// needs an answer repeats the message under the same correlation id.
+#pragma once
+
+#include "base/ids.h"
+#include "connection/store_api.h"
+#include "request/job_answer.h"
+#include "request/job_request.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sesamespar {
+
+/// Version of the protocol between daemons. A message of another version is dropped and logged.
+constexpr std::uint32_t peerProtocolVersion = 1;
+
+/// Sent to every peer at an interval.
+struct heartbeat {
+    data_centre_id dataCentre;
+    config_version version;
+    roster_revision roster;
+    bool leading = false; ///< The sender leads its data centre.
+    bool complete = false; ///< The sender leads and may accept new jobs.
+    epoch_number epoch; ///< Highest epoch that the sender has seen in its data centre.
+    bool draining = false; ///< The sender is about to leave; it must not become leader.
+    std::vector<worker_id> leaving; ///< VMs that the sender knows to be leaving or drained.
+};
+
+/// Any request about a job.
+using job_call = std::variant<submit_request, status_request, cancel_request>;
+
+/// Hands a caller's request to the leader of its home data centre.
+struct forward_request {
+    correlation_id correlation;
+    job_call call;
+};
+
+/// Answers a forwarded request. May come more than once; `Accepted` may be followed by the outcome.
+struct forward_answer {
+    correlation_id correlation;
+    job_answer answer;
+    bool final = true; ///< False if the outcome follows under the same correlation id.
+    bool notLeader = false; ///< The receiver does not lead; the request was not taken.
+};
+
+/// Asks for the configuration.
+struct config_request {
+};
+
+/// Hands over a configuration.
+struct config_push {
+    config_version version;
+    std::string text;
+};
+
+/// Asks for the VM list.
+struct roster_request {
+};
+
+/// Hands over the VM list.
+struct roster_push {
+    vm_list roster;
+};
+
+/// Asks the leader to drain a VM of its data centre.
+struct drain_push {
+    worker_id vm;
+};
+
+/// Any message between daemons.
+using peer_payload = std::variant<heartbeat,
+                                  forward_request,
+                                  forward_answer,
+                                  config_request,
+                                  config_push,
+                                  roster_request,
+                                  roster_push,
+                                  drain_push>;
+
+/// A message with its sender.
+struct peer_message {
+    daemon_id sender;
+    incarnation_id incarnation; ///< Of the sender's process.
+    peer_payload payload;
+};
+
+} // namespace sesamespar
--- /dev/null
+++ b/packages/connection/store_api.cpp
@@ -0,0 +1,1 @@
+#include "connection/store_api.h"
--- /dev/null
+++ b/packages/connection/worker_api.cpp
@@ -0,0 +1,1 @@
+#include "connection/worker_api.h"
--- /dev/null
+++ b/packages/process/event.cpp
@@ -0,0 +1,1 @@
+#include "process/event.h"
--- /dev/null
+++ b/packages/process/scheduler.cpp
@@ -0,0 +1,1 @@
+#include "process/scheduler.h"
--- /dev/null
+++ b/packages/request/job_request.cpp
@@ -0,0 +1,1 @@
+#include "request/job_request.h"
--- /dev/null
+++ b/packages/request/job_request.h
@@ -0,0 +1,45 @@
+// What a caller asks for: one job of a declared piece of work, under an idempotency key.
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace sesamespar {
+
+/// Largest payload of a job in bytes.
+constexpr std::size_t maxPayloadBytes = 16384;
+/// Longest key, and longest name of a team or of work, in bytes.
+constexpr std::size_t maxNameBytes = 128;
+
+/// A job as its caller describes it. All fields are part of its identity under the key.
+struct job_request {
+    job_id id;
+    work_id work;
+    utc_time expires; ///< After this time the request is never started and its outcome is no longer kept.
+    std::uint32_t tasks = 0; ///< 0 takes the number that the work declares.
+    std::string payload; ///< Opaque to the scheduler; passed to each task.
+
+    bool operator==(const job_request &) const = default;
+};
+
+/// A job request with how long its caller waits for the outcome.
+struct submit_request {
+    job_request job;
+    milliseconds wait{0}; ///< 0 answers as soon as the job is accepted.
+};
+
+/// Asks for the present state or the outcome of a job.
+struct status_request {
+    job_id id;
+    milliseconds wait{0}; ///< Waits so long for the outcome before it answers with the present state.
+};
+
+/// Asks to cancel a job. The answer tells whether any task may have run.
+struct cancel_request {
+    job_id id;
+};
+
+} // namespace sesamespar
--- /dev/null
+++ b/packages/version/configuration_parser.cpp
@@ -0,0 +1,1 @@
+#include "version/configuration_parser.h"
--- /dev/null
+++ b/packages/version/daemon_settings.cpp
@@ -0,0 +1,1 @@
+#include "version/daemon_settings.h"
--- /dev/null
+++ b/test/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
