Share compiler cache results between checkouts

Cause: ccache keys hold the absolute folder, so a second checkout compiles everything again (43 misses, 0 hits in the first one). Ruled out: one build tree for all, since builds would wait for each other. Change: CCACHE_BASEDIR and CCACHE_NOHASHDIR in the Makefile. Not measured yet.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,9 @@
 # Entry points of the repository. `make demo` and `make check` work on a fresh Debian 12 machine as root.
 BUILD ?= build
 JOBS ?= $(shell nproc)
+# Lets ccache share results between checkouts in different folders.
+export CCACHE_BASEDIR := $(CURDIR)
+export CCACHE_NOHASHDIR := 1
 
 .PHONY: all packages configure build format-check lint test check demo measure soak
 
