--- a/packages/connection/codec.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "connection/codec.h"
--- a/packages/connection/codec.h
+++ b/packages/connection/codec.h
@@ -50,4 +50,26 @@
 std::string encodeRecords(const std::vector<job_record> &records);
 result<std::vector<job_record>> decodeRecords(std::string_view bytes);
 
+/// The HTTP form of a call to the store.
+struct store_http_call {
+    std::string method;
+    std::string target; ///< Path and query, percent-encoded.
+    std::string body;
+};
+
+/// Encodes a call to the store.
+store_http_call encodeStoreRequest(const store_request &request);
+
+/// Decodes a call to the store, for stand-ins of it.
+result<store_request> decodeStoreRequest(const store_http_call &call);
+
+/// Encodes the store's answer as JSON.
+std::string encodeStoreReply(const store_reply &reply);
+
+/// Decodes the answer to `request`.
+result<store_reply> decodeStoreReply(const store_request &request, std::string_view json);
+
+/// Encodes {"error": message}, the body of an HTTP answer that is not about a job.
+std::string encodeError(std::string_view message);
+
 } // namespace sesamespar
--- a/packages/connection/peer_message.h
+++ b/packages/connection/peer_message.h
@@ -16,6 +16,11 @@
 /// Version of the protocol between daemons. A message of another version is dropped and logged.
 constexpr std::uint32_t peerProtocolVersion = 1;
 
+/// Largest message between daemons in bytes.
+constexpr std::size_t maxPeerMessageBytes = 1048576;
+/// Largest text of a configuration in bytes. Leaves room for the rest of a message or of a stored value.
+constexpr std::size_t maxConfigTextBytes = maxPeerMessageBytes - 16384;
+
 /// Sent to every peer at an interval.
 struct heartbeat {
     data_centre_id dataCentre;
--- a/packages/connection/store_api.h
+++ b/packages/connection/store_api.h
@@ -1,5 +1,6 @@
 // What daemons say to the platform's key-value service. This is the only place where its interface is
-// assumed. Each call, and each waiting watch, counts against its limits.
+// assumed. Each call, and each waiting watch, counts against its limits. Bodies are JSON; values stand in
+// them as base64. The service answers with status 200, or 429 if the call is beyond its rate.
 #pragma once
 
 #include "base/ids.h"
@@ -14,12 +15,15 @@
 /// Largest value in bytes.
 constexpr std::size_t maxStoreValueBytes = 1048576;
 
+/// Most keys in one answer to a list.
+constexpr std::size_t maxStoreListKeys = 1000;
+
 /// Reads one value. GET /v1/kv/KEY.
 struct store_get {
     std::string key;
 };
 
-/// Writes one value if its revision is `expected` (0: if it is absent). PUT /v1/kv/KEY?expected=N.
+/// Writes one value if its revision is `expected` (0: if it is absent). PUT /v1/kv/KEY?expected=N with {value}.
 struct store_put {
     std::string key;
     std::string value;
@@ -43,19 +47,19 @@
 struct store_vm_list {
 };
 
-/// A value; revision 0 if it is absent.
+/// A value; revision 0 if it is absent. {value, revision}.
 struct store_value {
     std::string value;
     store_revision revision;
 };
 
-/// Outcome of a put. If not applied, `revision` is the current one.
+/// Outcome of a put. If not applied, `revision` is the current one. {applied, revision}.
 struct store_put_reply {
     bool applied = false;
     store_revision revision;
 };
 
-/// Keys found.
+/// Keys found. {keys}.
 struct store_keys {
     std::vector<std::string> keys;
 };
--- a/packages/request/job_record.h
+++ b/packages/request/job_record.h
@@ -16,6 +16,9 @@
 
 namespace sesamespar {
 
+/// Largest result of a task in bytes.
+constexpr std::size_t maxResultBytes = 4096;
+
 /// How far one task is.
 enum class task_state {
     Waiting, ///< No attempt is under way.
--- a/packages/request/job_request.h
+++ b/packages/request/job_request.h
@@ -13,6 +13,8 @@
 constexpr std::size_t maxPayloadBytes = 16384;
 /// Longest key, and longest name of a team or of work, in bytes.
 constexpr std::size_t maxNameBytes = 128;
+/// Longest time that a caller may ask to wait for an outcome.
+constexpr milliseconds maxCallerWait{60000};
 
 /// A job as its caller describes it. All fields are part of its identity under the key.
 struct job_request {
