Split the scheduler into one file per decision and index the fleet

The first version scanned all workers for each task and had no fairness, preemption, usage learning or worker health. Workers lie in buckets by free capacity, and jobs of one team, kind and need share a lane, so that one failed search answers for all of them.

--- /dev/null
+++ b/packages/process/job_queue.cpp
@@ -0,0 +1,149 @@
+#include "process/job_queue.h"
+
+#include "process/scheduler_state.h"
+#include "process/team_usage.h"
+#include "process/usage_learning.h"
+
+namespace sesamespar {
+
+namespace {
+
+// A blocked lane is tried again after this time, in case a preemption becomes possible without a release.
+constexpr milliseconds blockedRetry{200};
+
+lane_key keyOf(const job_offer &offer)
+{
+    return {offer.work,
+            offer.need.processors.value,
+            offer.need.memory.value,
+            offer.need.accelerator.value,
+            offer.kind == work_kind::Gang ? offer.tasks : 0};
+}
+
+} // namespace
+
+team_queue &queueOf(scheduler &state, const team_id &team, work_kind kind)
+{
+    const auto [entry, added] = state.queues.try_emplace({kind, team});
+    team_queue &queue = entry->second;
+    if (added) {
+        queue.team = team;
+        queue.kind = kind;
+        queue.owner = &state.teams[team];
+        applyTeamSettings(state, queue);
+    }
+    return queue;
+}
+
+void pushJob(scheduler &state, job_state &job)
+{
+    team_queue &queue = queueOf(state, job.offer.id.team, job.offer.kind);
+    const auto [entry, added] = queue.lanes.try_emplace(keyOf(job.offer));
+    job_lane &lane = entry->second;
+    if (added) {
+        lane.queue = &queue;
+        lane.work = job.offer.work;
+        lane.declared = job.offer.need;
+        lane.runTime = job.offer.runTime;
+        lane.need = learnedNeed(state, job.offer.id.team, lane.work, lane.declared);
+    }
+    job.lane = &lane;
+    if (job.offer.preemptions > 0 || job.waiting.size() < job.offer.tasks) {
+        lane.jobs.push_front(job);
+    } else {
+        lane.jobs.push_back(job);
+    }
+    relinkLane(state, lane);
+}
+
+void countWaiting(scheduler &state, job_state &job, std::int64_t tasks)
+{
+    // Unsigned counters wrap around to the right value when a negative count is added.
+    const auto change = static_cast<std::size_t>(tasks);
+    const std::int64_t processors = job.offer.need.processors.value * tasks;
+    kind_state &kind = state.kinds.at(kindIndex(job.offer.kind));
+    kind.waiting += change;
+    job.lane->waiting += change;
+    job.lane->queue->waiting += change;
+    job.lane->queue->waitingProcessors += processors;
+}
+
+void pullJob(scheduler &state, job_state &job)
+{
+    if (job.lane == nullptr) {
+        return;
+    }
+    job_lane &lane = *job.lane;
+    job.inLane.unlink();
+    job.lane = nullptr;
+    if (lane.blocked != block_reason::None && lane.jobs.empty()) {
+        lane.blocked = block_reason::None;
+        lane.inBlocked.unlink();
+    }
+    relinkLane(state, lane);
+}
+
+void relinkLane(scheduler &state, job_lane &lane)
+{
+    if (lane.inQueue.is_linked()) {
+        lane.inQueue.unlink();
+    }
+    if (!lane.jobs.empty() && lane.blocked == block_reason::None) {
+        const bool shortest = policyOf(*state.settings, lane.queue->kind).order == queue_order::ShortestFirst;
+        lane.rank = {shortest ? lane.runTime.count() : 0, lane.jobs.front().arrival};
+        lane.queue->ready.insert(lane);
+    }
+    relinkQueue(state, *lane.queue);
+}
+
+void relinkQueue(scheduler &state, team_queue &queue)
+{
+    if (queue.inClass.is_linked()) {
+        queue.inClass.unlink();
+    }
+    if (!queue.ready.empty()) {
+        queue.share = {weightedShare(state, queue), queue.served};
+        const int priority = policyOf(*state.settings, queue.kind).priority;
+        state.classes.at(static_cast<std::size_t>(priority)).insert(queue);
+    }
+}
+
+void blockLane(scheduler &state, job_lane &lane, block_reason reason, time_point now)
+{
+    lane.blocked = reason;
+    lane.retryAt = now + blockedRetry;
+    state.blocked.push_back(lane);
+    relinkLane(state, lane);
+}
+
+void unblockLane(scheduler &state, job_lane &lane)
+{
+    if (lane.blocked != block_reason::None) {
+        lane.blocked = block_reason::None;
+        lane.inBlocked.unlink();
+        relinkLane(state, lane);
+    }
+}
+
+void unblockAfterRelease(scheduler &state, const team_queue &queue, const worker_state &worker)
+{
+    for (auto next = state.blocked.begin(); next != state.blocked.end();) {
+        job_lane &lane = *next++;
+        const bool helped = (lane.blocked == block_reason::NoFit && hasRoom(worker, lane.need))
+            || (lane.blocked == block_reason::Quota && lane.queue->owner == queue.owner)
+            || (lane.blocked == block_reason::Cap && lane.queue->kind == queue.kind)
+            || lane.blocked == block_reason::Guarantee;
+        if (helped) {
+            unblockLane(state, lane);
+        }
+    }
+}
+
+void unblockAll(scheduler &state)
+{
+    while (!state.blocked.empty()) {
+        unblockLane(state, state.blocked.front());
+    }
+}
+
+} // namespace sesamespar
--- /dev/null
+++ b/packages/process/preemption.cpp
@@ -0,0 +1,167 @@
+#include "process/preemption.h"
+
+#include "process/scheduler_state.h"
+#include "process/team_usage.h"
+
+#include <algorithm>
+
+namespace sesamespar {
+
+namespace {
+
+// Bounds the cost of one pass.
+constexpr std::size_t maxExamined = 64;
+constexpr std::size_t maxPreemptionsPerPass = 64;
+
+struct victim_set {
+    std::vector<task_state *> tasks;
+    std::uint32_t preemptions = 0; ///< That the victims' jobs had so far.
+};
+
+int priorityOf(const scheduler &state, const job_state &job)
+{
+    return policyOf(*state.settings, job.offer.kind).priority;
+}
+
+bool isVictim(const scheduler &state, const task_state &task, int priority)
+{
+    const kind_policy &policy = policyOf(*state.settings, task.job->offer.kind);
+    const kind_state &kind = state.kinds.at(kindIndex(task.job->offer.kind));
+    const std::int64_t leftToKind =
+        kind.used.processors.value - kind.preemptingProcessors - task.reserved.processors.value;
+    return task.onVictims.is_linked() && !task.preempting && !task.stopping && policy.priority < priority
+        && leftToKind >= state.capacity.processors.value * policy.guaranteedPercent / 100
+        && task.job->offer.preemptions + task.job->preempting < policy.preemptionLimit;
+}
+
+bool roomWithout(const worker_state &worker, const resources &need, const std::vector<task_state *> &victims)
+{
+    resources left = worker.reserved;
+    for (const task_state *victim : victims) {
+        left = left - victim->reserved;
+    }
+    return worker.tasks - victims.size() < worker.slots && fits(left + need, worker.usable);
+}
+
+// Victims on one worker, the least urgent and least often preempted first, without any that is not needed.
+victim_set victimsOn(const scheduler &state, worker_state &worker, const resources &need, int priority)
+{
+    std::vector<task_state *> candidates;
+    for (task_state &task : worker.running) {
+        if (isVictim(state, task, priority)) {
+            candidates.push_back(&task);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), [&](const task_state *left, const task_state *right) {
+        const auto rank = [&](const task_state &task) {
+            return std::make_tuple(priorityOf(state, *task.job),
+                                   task.job->offer.preemptions,
+                                   -static_cast<std::int64_t>(task.placedOrder));
+        };
+        return rank(*left) < rank(*right);
+    });
+    victim_set chosen;
+    for (task_state *candidate : candidates) {
+        if (roomWithout(worker, need, chosen.tasks)) {
+            break;
+        }
+        chosen.tasks.push_back(candidate);
+    }
+    if (!roomWithout(worker, need, chosen.tasks)) {
+        return {};
+    }
+    for (std::size_t index = chosen.tasks.size(); index-- > 0;) {
+        task_state *candidate = chosen.tasks.at(index);
+        chosen.tasks.erase(chosen.tasks.begin() + static_cast<std::ptrdiff_t>(index));
+        if (!roomWithout(worker, need, chosen.tasks)) {
+            chosen.tasks.push_back(candidate);
+        }
+    }
+    for (const task_state *victim : chosen.tasks) {
+        chosen.preemptions += victim->job->offer.preemptions;
+    }
+    return chosen;
+}
+
+victim_set chooseVictims(scheduler &state, const resources &need, int priority)
+{
+    victim_set best;
+    std::size_t examined = 0;
+    for (int level = 0; level < priority; ++level) {
+        for (auto &tasks : state.victims.at(static_cast<std::size_t>(level))) {
+            for (task_state &task : tasks) {
+                if (++examined > maxExamined) {
+                    return best;
+                }
+                if (!task.worker->placeable || task.worker->preempting > 0 || !isVictim(state, task, priority)) {
+                    continue;
+                }
+                victim_set found = victimsOn(state, *task.worker, need, priority);
+                const bool better = best.tasks.empty()
+                    || std::make_pair(found.tasks.size(), found.preemptions)
+                        < std::make_pair(best.tasks.size(), best.preemptions);
+                if (!found.tasks.empty() && better) {
+                    best = std::move(found);
+                }
+            }
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+void listVictim(scheduler &state, task_state &task)
+{
+    const kind_policy &policy = policyOf(*state.settings, task.job->offer.kind);
+    if (task.onVictims.is_linked() || !policy.preemptible || !task.job->offer.repeatable
+        || task.job->offer.kind == work_kind::Gang || task.job->offer.preemptions >= policy.preemptionLimit) {
+        return;
+    }
+    auto &levels = state.victims.at(static_cast<std::size_t>(policy.priority));
+    const std::size_t level = std::min<std::size_t>(task.job->offer.preemptions, levels.size() - 1);
+    levels.at(level).push_front(task);
+    task.victimPriority = static_cast<std::size_t>(policy.priority);
+    task.victimLevel = level;
+}
+
+void preemptFor(scheduler &state, job_lane &lane, schedule_result &result)
+{
+    const int priority = policyOf(*state.settings, lane.queue->kind).priority;
+    while (lane.preempting < lane.waiting && result.preemptions.size() < maxPreemptionsPerPass) {
+        const std::int64_t tasks = lane.preempting + 1;
+        const std::int64_t held = state.kinds.at(kindIndex(lane.queue->kind)).used.processors.value;
+        if (!quotaCanHold(*lane.queue, lane.need, tasks)
+            || !capCanHold(state, lane.queue->kind, held + lane.need.processors.value * tasks)) {
+            return;
+        }
+        const victim_set victims = chooseVictims(state, lane.need, priority);
+        if (victims.tasks.empty()) {
+            return;
+        }
+        ++lane.preempting;
+        victims.tasks.front()->preemptedFor = &lane;
+        for (task_state *victim : victims.tasks) {
+            victim->preempting = true;
+            ++victim->job->preempting;
+            ++victim->worker->preempting;
+            state.kinds.at(kindIndex(victim->job->offer.kind)).preemptingProcessors +=
+                victim->reserved.processors.value;
+            result.preemptions.push_back({{victim->job->offer.id, victim->index}, victim->worker->offer.name});
+        }
+    }
+}
+
+void notePreempted(scheduler &state, task_state &task)
+{
+    if (task.preempting) {
+        state.kinds.at(kindIndex(task.job->offer.kind)).preemptingProcessors -= task.reserved.processors.value;
+        --task.job->preempting;
+        --task.worker->preempting;
+    }
+    if (task.preemptedFor != nullptr) {
+        --task.preemptedFor->preempting;
+    }
+}
+
+} // namespace sesamespar
--- a/packages/process/scheduler.cpp
+++ b/packages/process/scheduler.cpp
@@ -1,169 +1,259 @@
 #include "process/scheduler.h"
 
+#include "process/admission.h"
+#include "process/capacity_hold.h"
+#include "process/preemption.h"
+#include "process/scheduler_state.h"
+#include "process/team_usage.h"
+#include "process/usage_learning.h"
+#include "process/wait_reason.h"
+#include "process/worker_health.h"
+
 #include <glog/logging.h>
 
 #include <algorithm>
-#include <array>
-#include <map>
-#include <set>
-#include <unordered_map>
 
 namespace sesamespar {
 
 namespace {
 
-struct worker_entry {
-    worker_offer offer;
-    resources usable;
-    resources reserved;
-    std::uint32_t tasks = 0;
-};
+resources usableCapacity(const configuration &settings, const resources &capacity)
+{
+    return {millicores(capacity.processors.value * settings.limits.processorPercent / 100),
+            mebibytes(capacity.memory.value * settings.limits.memoryPercent / 100),
+            capacity.accelerator};
+}
 
-struct job_entry {
-    job_offer offer;
-    std::uint64_t arrival = 0;
-    std::set<task_index> waiting;
-    std::map<task_index, worker_id> placed;
-};
+capacity_key shapeOf(const resources &capacity)
+{
+    return {capacity.processors.value, capacity.memory.value, capacity.accelerator.value};
+}
 
-} // namespace
+void countPlaceable(scheduler &state, const worker_state &worker, std::int64_t sign)
+{
+    state.capacity = state.capacity + worker.usable * sign;
+    state.reserved = state.reserved + worker.reserved * sign;
+    state.placeableWorkers += static_cast<std::size_t>(sign);
+}
 
-struct scheduler {
-    configuration_ptr settings;
-    std::map<worker_id, worker_entry> workers;
-    std::map<job_id, job_entry> jobs;
-    std::map<team_id, resources> teamUse;
-    std::array<resources, allWorkKinds.size()> kindUse;
-    std::array<std::size_t, allWorkKinds.size()> waitingOfKind{};
-    std::uint64_t arrivals = 0;
-};
+void forgetShape(scheduler &state, const worker_state &worker)
+{
+    const auto shape = state.shapes.find(shapeOf(worker.usable));
+    if (--shape->second == 0) {
+        state.shapes.erase(shape);
+    }
+}
 
-namespace {
+bool isSameOffer(const worker_state &worker, const worker_offer &offer, const configuration &settings)
+{
+    const bool sameSlots = worker.health.probation || worker.slots == settings.limits.slotsPerWorker;
+    return sameSlots && worker.offer.rack == offer.rack && worker.offer.capacity == offer.capacity
+        && worker.offer.placeable == offer.placeable;
+}
 
-resources usableCapacity(const configuration &settings, const resources &capacity)
+void joinRack(scheduler &state, worker_state &worker)
 {
-    return {millicores(capacity.processors.value * settings.limits.processorPercent / 100),
-            mebibytes(capacity.memory.value * settings.limits.memoryPercent / 100),
-            capacity.accelerator};
+    const auto [entry, added] = state.racks.try_emplace(worker.offer.rack);
+    if (added) {
+        state.rackOrder.push_back(&entry->second);
+    }
+    worker.rack = &entry->second;
+    worker.rack->workers.push_back(&worker);
 }
 
-resources placeableCapacity(const scheduler &state)
+// The rack itself stays known, because jobs count their tasks on it.
+void leaveRack(worker_state &worker)
 {
-    resources sum;
-    for (const auto &[name, worker] : state.workers) {
-        if (worker.offer.placeable) {
-            sum = sum + worker.usable;
-        }
+    std::erase(worker.rack->workers, &worker);
+    worker.rack = nullptr;
+}
+
+// Changes what a worker holds, on the worker and in the sums over the fleet.
+void countOnWorker(scheduler &state, worker_state &worker, work_kind kind, const resources &amount)
+{
+    worker.reserved = worker.reserved + amount;
+    state.reservedEverywhere = state.reservedEverywhere + amount;
+    if (kind == work_kind::Service) {
+        worker.serviceReserved = worker.serviceReserved + amount;
+    }
+    if (worker.placeable) {
+        state.reserved = state.reserved + amount;
     }
-    return sum;
 }
 
-bool quotaAllows(const scheduler &state, const team_id &team, const resources &more)
+void countTask(scheduler &state, job_state &job, worker_state &worker, bool added)
 {
-    const team_settings *settings = findTeam(*state.settings, team);
-    if (settings == nullptr || !settings->quota) {
-        return true;
+    const std::uint32_t change = added ? 1 : std::uint32_t(0) - 1;
+    worker.tasks += change;
+    worker.serviceTasks += job.offer.kind == work_kind::Service ? change : 0;
+    state.placedTasks += added ? 1 : std::size_t(0) - 1;
+    std::uint32_t &onRack = job.racks[worker.rack];
+    onRack += change;
+    if (onRack == 0) {
+        job.racks.erase(worker.rack);
+    }
+}
+
+job_state &findOrAddJob(scheduler &state, const job_offer &offer)
+{
+    const auto [entry, added] = state.jobs.try_emplace(offer.id);
+    if (added) {
+        entry->second.offer = offer;
+        entry->second.arrival = ++state.arrivals;
     }
-    const auto use = state.teamUse.find(team);
-    return fits(more + (use == state.teamUse.end() ? resources() : use->second), *settings->quota);
+    return entry->second;
 }
 
-bool capAllows(const scheduler &state, work_kind kind, const resources &more)
+void endHoldFor(scheduler &state, const job_state &job)
 {
-    const auto cap = placeableCapacity(state).processors.value * policyOf(*state.settings, kind).capPercent / 100;
-    return state.kindUse.at(kindIndex(kind)).processors.value + more.processors.value <= cap;
+    if (state.hold.job == &job) {
+        endHold(state);
+    }
 }
 
-void reserve(scheduler &state, job_entry &job, task_index index, worker_entry &worker)
+void dropIfIdle(scheduler &state, job_state &job)
 {
-    worker.reserved = worker.reserved + job.offer.need;
-    ++worker.tasks;
-    resources &teamUse = state.teamUse[job.offer.id.team];
-    teamUse = teamUse + job.offer.need;
-    resources &kindUse = state.kindUse.at(kindIndex(job.offer.kind));
-    kindUse = kindUse + job.offer.need;
-    job.placed[index] = worker.offer.name;
+    if (job.waiting.empty() && job.placed.empty()) {
+        endHoldFor(state, job);
+        pullJob(state, job);
+        const job_id id = job.offer.id;
+        state.jobs.erase(id);
+    }
 }
 
-void eraseIfEmpty(scheduler &state, const job_id &id)
+void stopWaiting(scheduler &state, job_state &job, task_index index)
 {
-    const auto job = state.jobs.find(id);
-    if (job != state.jobs.end() && job->second.waiting.empty() && job->second.placed.empty()) {
-        state.jobs.erase(job);
+    if (job.waiting.erase(index) == 0) {
+        return;
+    }
+    countWaiting(state, job, -1);
+    if (job.waiting.empty()) {
+        endHoldFor(state, job);
+        pullJob(state, job);
     }
 }
 
-std::uint32_t tasksOnRack(const scheduler &state, const job_entry &job, const rack_id &rack)
+void waitAgain(scheduler &state, job_state &job, task_index index)
 {
-    std::uint32_t count = 0;
-    for (const auto &[index, name] : job.placed) {
-        const auto worker = state.workers.find(name);
-        count += worker != state.workers.end() && worker->second.offer.rack == rack ? 1 : 0;
+    job.waiting.insert(index);
+    countWaiting(state, job, 1);
+}
+
+held_workers heldFor(const scheduler &state, const job_state &job, time_point now)
+{
+    if (state.hold.job == &job) {
+        return held_workers::First;
     }
-    return count;
+    const int priority = policyOf(*state.settings, job.offer.kind).priority;
+    return isHoldClosedTo(state, priority, now) ? held_workers::Ignore : held_workers::Last;
 }
 
-worker_entry *chooseWorker(scheduler &state, const job_entry &job)
+// Takes back the tasks of a gang that were placed in this pass.
+void undo(scheduler &state, job_state &job, std::size_t keep, schedule_result &result)
 {
-    const placement_rule rule = policyOf(*state.settings, job.offer.kind).placement;
-    worker_entry *best = nullptr;
-    std::array<std::int64_t, 3> bestRank{};
-    for (auto &[name, worker] : state.workers) {
-        if (!worker.offer.placeable || worker.tasks >= state.settings->limits.slotsPerWorker
-            || !fits(job.offer.need, worker.usable - worker.reserved)) {
-            continue;
-        }
-        if (rule == placement_rule::FirstFit) {
-            return &worker;
-        }
-        const resources left = worker.usable - worker.reserved;
-        const std::int64_t spare = job.offer.need.accelerator.value > 0 ? 0 : worker.usable.accelerator.value;
-        const std::int64_t onRack = rule == placement_rule::Spread ? tasksOnRack(state, job, worker.offer.rack) : 0;
-        const std::array<std::int64_t, 3> rank{
-            spare, onRack, rule == placement_rule::Spread ? worker.tasks : left.processors.value};
-        if (best == nullptr || rank < bestRank) {
-            best = &worker;
-            bestRank = rank;
+    while (result.placements.size() > keep) {
+        const task_index index = result.placements.back().task.index;
+        unreserveTask(state, *job.placed.at(index));
+        waitAgain(state, job, index);
+        result.placements.pop_back();
+    }
+}
+
+// Places one task of a job, or all waiting ones of a gang, and returns None; or places none and returns why.
+block_reason placeTasks(scheduler &state, job_state &job, time_point now, schedule_result &result)
+{
+    job_lane &lane = *job.lane;
+    const std::size_t tasks = job.offer.kind == work_kind::Gang ? job.waiting.size() : 1;
+    const bool starved = state.hold.job == &job && isHoldStrict(state, now);
+    const block_reason limited = checkLimits(state, *lane.queue, lane.need, static_cast<std::int64_t>(tasks));
+    if (limited != block_reason::None && !(limited == block_reason::Guarantee && starved)) {
+        return limited;
+    }
+    const worker_search search{&job, lane.need, failedWorkers(state, job.offer.work), heldFor(state, job, now)};
+    const std::size_t before = result.placements.size();
+    for (std::size_t count = 0; count < tasks; ++count) {
+        worker_state *worker = chooseWorker(state, search);
+        if (worker == nullptr) {
+            undo(state, job, before, result);
+            return block_reason::NoFit;
         }
+        // The last task is taken from the queue only after the loop, so that the lane stays valid for an undo.
+        const task_index index = *job.waiting.rbegin();
+        job.waiting.erase(index);
+        countWaiting(state, job, -1);
+        reserveTask(state, job, index, *worker, lane.need);
+        result.placements.push_back({{job.offer.id, index}, worker->offer.name});
     }
-    return best;
+    job.since = now;
+    lane.progressAt = now;
+    state.kinds.at(kindIndex(job.offer.kind)).started += tasks;
+    lane.queue->served = ++state.placements;
+    if (job.waiting.empty()) {
+        endHoldFor(state, job);
+        pullJob(state, job);
+    } else {
+        relinkQueue(state, *lane.queue);
+    }
+    return block_reason::None;
 }
 
-bool placeOne(scheduler &state, job_entry &job, task_index index, schedule_result &result)
+void serveHold(scheduler &state, time_point now, schedule_result &result)
 {
-    if (!quotaAllows(state, job.offer.id.team, job.offer.need) || !capAllows(state, job.offer.kind, job.offer.need)) {
-        return false;
+    if (state.hold.job == nullptr) {
+        return;
     }
-    worker_entry *worker = chooseWorker(state, job);
-    if (worker == nullptr) {
-        return false;
+    job_state &job = *state.hold.job;
+    const block_reason reason = placeTasks(state, job, now, result);
+    if (reason != block_reason::NoFit && reason != block_reason::Guarantee) {
+        endHold(state); // It was served, or limits of its team or kind stand in its way.
     }
-    reserve(state, job, index, *worker);
-    job.waiting.erase(index);
-    --state.waitingOfKind.at(kindIndex(job.offer.kind));
-    result.placements.push_back({{job.offer.id, index}, worker->offer.name});
-    return true;
 }
 
-void placeJob(scheduler &state, job_entry &job, std::size_t limit, schedule_result &result)
+// Serves the head of the lane that is next in the class. Returns false if the pass has to end before it.
+bool serveNext(scheduler &state, priority_class &queues, time_point now, std::size_t limit, schedule_result &result)
 {
+    job_lane &lane = *queues.begin()->ready.begin();
+    job_state &job = lane.jobs.front();
     const bool gang = job.offer.kind == work_kind::Gang;
-    if (gang && result.placements.size() + job.waiting.size() > limit && !result.placements.empty()) {
-        return;
+    if (gang && !result.placements.empty() && result.placements.size() + job.waiting.size() > limit) {
+        return false; // A gang is not split; it comes first in the next pass.
     }
-    const std::size_t before = result.placements.size();
-    while (!job.waiting.empty() && (gang || result.placements.size() < limit)) {
-        if (placeOne(state, job, *job.waiting.begin(), result)) {
-            continue;
+    const block_reason reason = placeTasks(state, job, now, result);
+    if (reason == block_reason::None) {
+        return true;
+    }
+    if (reason == block_reason::NoFit && !gang) {
+        preemptFor(state, lane, result);
+    }
+    blockLane(state, lane, reason, now);
+    return true;
+}
+
+void retryBlocked(scheduler &state, time_point now)
+{
+    while (!state.blocked.empty() && state.blocked.front().retryAt <= now) {
+        unblockLane(state, state.blocked.front());
+    }
+}
+
+// Drops lanes that nothing refers to, for example of work that is no longer declared.
+void dropIdleLanes(team_queue &queue)
+{
+    std::erase_if(queue.lanes,
+                  [](const auto &entry) { return entry.second.jobs.empty() && entry.second.preempting == 0; });
+}
+
+void relistVictims(scheduler &state)
+{
+    for (auto &levels : state.victims) {
+        for (auto &tasks : levels) {
+            tasks.clear();
         }
-        while (gang && result.placements.size() > before) {
-            const task_key task = result.placements.back().task;
-            result.placements.pop_back();
-            releaseTask(state, task);
-            job.waiting.insert(task.index);
-            ++state.waitingOfKind.at(kindIndex(job.offer.kind));
+    }
+    for (auto &[id, job] : state.jobs) {
+        for (auto &[index, task] : job.placed) {
+            listVictim(state, *task);
         }
-        return;
     }
 }
 
@@ -185,176 +275,274 @@
 void applyConfiguration(scheduler &state, configuration_ptr settings)
 {
     CHECK(settings != nullptr);
+    endHold(state);
     state.settings = std::move(settings);
     for (auto &[name, worker] : state.workers) {
-        worker.usable = usableCapacity(*state.settings, worker.offer.capacity);
+        putWorker(state, worker_offer(worker.offer));
+    }
+    relistVictims(state);
+    for (auto &[key, queue] : state.queues) {
+        dropIdleLanes(queue);
+        applyTeamSettings(state, queue);
+        for (auto &[laneKey, lane] : queue.lanes) {
+            lane.need = learnedNeed(state, queue.team, lane.work, lane.declared);
+        }
+    }
+    unblockAll(state);
+    for (auto &[key, queue] : state.queues) {
+        for (auto &[laneKey, lane] : queue.lanes) {
+            relinkLane(state, lane);
+        }
     }
 }
 
-void putWorker(scheduler &state, const worker_offer &offer)
+void reindexWorker(scheduler &state, worker_state &worker)
 {
-    worker_entry &worker = state.workers[offer.name];
-    worker.offer = offer;
-    worker.usable = usableCapacity(*state.settings, offer.capacity);
+    if (worker.placeable) {
+        indexWorker(worker.held ? state.heldIndex : state.index, worker);
+    } else {
+        unindexWorker(worker);
+    }
 }
 
-void removeWorker(scheduler &state, const worker_id &name)
+void refreshWorker(scheduler &state, worker_state &worker)
 {
-    const auto worker = state.workers.find(name);
-    if (worker != state.workers.end()) {
-        CHECK_EQ(worker->second.tasks, 0U) << "worker " << name << " is removed with tasks on it";
-        state.workers.erase(worker);
+    const bool placeable = worker.offer.placeable && !worker.health.setAside;
+    if (worker.held && !placeable) {
+        endHold(state);
     }
+    if (placeable != worker.placeable) {
+        worker.placeable = placeable;
+        countPlaceable(state, worker, placeable ? 1 : -1);
+    }
+    // A worker on probation gets one task at a time until one succeeds.
+    worker.slots = worker.health.probation ? 1 : state.settings->limits.slotsPerWorker;
+    reindexWorker(state, worker);
+    unblockAll(state);
 }
 
-admission_verdict admit(const scheduler &state, const job_offer &job)
+void putWorker(scheduler &state, const worker_offer &offer)
 {
-    const bool fitsSomewhere = std::any_of(state.workers.begin(), state.workers.end(), [&](const auto &entry) {
-        return fits(job.need, entry.second.usable);
-    });
-    if (!fitsSomewhere) {
-        return {false, "one task needs more than any worker holds", milliseconds(0)};
+    worker_state &worker = state.workers[offer.name];
+    const resources usable = usableCapacity(*state.settings, offer.capacity);
+    if (worker.rack != nullptr && worker.usable == usable && isSameOffer(worker, offer, *state.settings)) {
+        return; // Leaders repeat offers with each renewal; only a change can help waiting work.
+    }
+    if (worker.placeable) {
+        countPlaceable(state, worker, -1);
+        worker.placeable = false;
     }
-    const team_settings *team = findTeam(*state.settings, job.id.team);
-    const std::int64_t together = job.kind == work_kind::Gang ? job.tasks : 1;
-    if (team != nullptr && team->quota && !fits(job.need * together, *team->quota)) {
-        return {false, "the job needs more than the quota of team " + job.id.team.value, milliseconds(0)};
+    if (worker.rack != nullptr) {
+        forgetShape(state, worker);
     }
-    if (state.waitingOfKind.at(kindIndex(job.kind)) + job.tasks > policyOf(*state.settings, job.kind).queueLimit) {
-        return {false, "the queue of " + std::string(workKindName(job.kind)) + " work is full", milliseconds(1000)};
+    if (worker.rack != nullptr && worker.offer.rack != offer.rack) {
+        for (task_state &task : worker.running) {
+            --task.job->racks[worker.rack];
+        }
+        leaveRack(worker);
+    }
+    const bool joins = worker.rack == nullptr;
+    worker.offer = offer;
+    worker.usable = usable;
+    ++state.shapes[shapeOf(usable)];
+    if (joins) {
+        joinRack(state, worker);
+        for (task_state &task : worker.running) {
+            ++task.job->racks[worker.rack];
+        }
     }
-    return {true, {}, milliseconds(0)};
+    refreshWorker(state, worker);
 }
 
-void enqueue(scheduler &state, const job_offer &job, const std::vector<task_index> &waiting, time_point)
+void removeWorker(scheduler &state, const worker_id &name)
 {
-    auto [entry, added] = state.jobs.try_emplace(job.id);
-    if (added) {
-        entry->second.arrival = ++state.arrivals;
-        entry->second.offer = job;
+    const auto found = state.workers.find(name);
+    if (found == state.workers.end()) {
+        return;
     }
-    entry->second.offer.preemptions = job.preemptions;
+    worker_state &worker = found->second;
+    CHECK_EQ(worker.tasks, 0U) << "worker " << name << " is removed with tasks on it";
+    if (worker.health.setAside) {
+        --state.setAsideWorkers;
+    }
+    worker.offer.placeable = false;
+    refreshWorker(state, worker);
+    forgetShape(state, worker);
+    leaveRack(worker);
+    state.workers.erase(found);
+}
+
+admission_verdict admit(const scheduler &state, const job_offer &job)
+{
+    return decideAdmission(state, job);
+}
+
+void enqueue(scheduler &state, const job_offer &offer, const std::vector<task_index> &waiting, time_point now)
+{
+    job_state &job = findOrAddJob(state, offer);
+    job.offer.preemptions = offer.preemptions;
+    const std::size_t before = job.waiting.size();
     for (const task_index index : waiting) {
-        if (!entry->second.placed.contains(index) && entry->second.waiting.insert(index).second) {
-            ++state.waitingOfKind.at(kindIndex(job.kind));
+        if (!job.placed.contains(index)) {
+            job.waiting.insert(index);
         }
     }
-    eraseIfEmpty(state, job.id);
+    const std::size_t added = job.waiting.size() - before;
+    if (added == 0) {
+        dropIfIdle(state, job);
+        return;
+    }
+    if (job.lane == nullptr) {
+        job.since = now;
+        pushJob(state, job);
+    }
+    countWaiting(state, job, static_cast<std::int64_t>(added));
 }
 
-void dequeue(scheduler &state, const job_id &job)
+void dequeue(scheduler &state, const job_id &id)
 {
-    const auto entry = state.jobs.find(job);
-    if (entry != state.jobs.end()) {
-        state.waitingOfKind.at(kindIndex(entry->second.offer.kind)) -= entry->second.waiting.size();
-        entry->second.waiting.clear();
-        eraseIfEmpty(state, job);
+    const auto found = state.jobs.find(id);
+    if (found == state.jobs.end() || found->second.lane == nullptr) {
+        return;
     }
+    job_state &job = found->second;
+    endHoldFor(state, job);
+    countWaiting(state, job, -static_cast<std::int64_t>(job.waiting.size()));
+    pullJob(state, job);
+    job.waiting = {};
+    dropIfIdle(state, job);
 }
 
-schedule_result schedule(scheduler &state, time_point, std::size_t limit)
+schedule_result schedule(scheduler &state, time_point now, std::size_t limit)
 {
-    std::vector<job_entry *> order;
-    for (auto &[id, job] : state.jobs) {
-        if (!job.waiting.empty()) {
-            order.push_back(&job);
-        }
-    }
-    std::sort(order.begin(), order.end(), [&](const job_entry *left, const job_entry *right) {
-        const int leftPriority = policyOf(*state.settings, left->offer.kind).priority;
-        const int rightPriority = policyOf(*state.settings, right->offer.kind).priority;
-        return leftPriority != rightPriority ? leftPriority > rightPriority : left->arrival < right->arrival;
-    });
     schedule_result result;
-    for (job_entry *job : order) {
-        if (result.placements.size() >= limit) {
-            break;
+    endSetAside(state, now);
+    updateDemand(state, now);
+    retryBlocked(state, now);
+    if (limit > 0) {
+        serveHold(state, now, result);
+    }
+    for (auto queues = state.classes.rbegin(); queues != state.classes.rend(); ++queues) {
+        while (!queues->empty()) {
+            if (result.placements.size() >= limit || !serveNext(state, *queues, now, limit, result)) {
+                return result;
+            }
         }
-        placeJob(state, *job, limit, result);
     }
+    startHold(state, now);
     return result;
 }
 
-void adoptTask(scheduler &state, const job_offer &job, task_index index, const worker_id &worker)
+task_state &reserveTask(scheduler &state, job_state &job, task_index index, worker_state &worker, const resources &need)
 {
-    const auto target = state.workers.find(worker);
-    CHECK(target != state.workers.end()) << "task of " << job.id << " adopted on unknown worker " << worker;
-    auto [entry, added] = state.jobs.try_emplace(job.id);
-    if (added) {
-        entry->second.arrival = ++state.arrivals;
-        entry->second.offer = job;
+    auto made = std::make_unique<task_state>();
+    task_state &task = *made;
+    job.placed.emplace(index, std::move(made));
+    task.job = &job;
+    task.index = index;
+    task.worker = &worker;
+    task.reserved = need;
+    task.placedOrder = ++state.placements;
+    worker.running.push_back(task);
+    countTask(state, job, worker, true);
+    countOnWorker(state, worker, job.offer.kind, need);
+    countUse(state, queueOf(state, job.offer.id.team, job.offer.kind), need);
+    reindexWorker(state, worker);
+    listVictim(state, task);
+    return task;
+}
+
+void resizeTask(scheduler &state, task_state &task, const resources &reserved)
+{
+    const resources more = reserved - task.reserved;
+    if (task.preempting) {
+        state.kinds.at(kindIndex(task.job->offer.kind)).preemptingProcessors += more.processors.value;
     }
-    if (entry->second.placed.contains(index)) {
-        return;
+    task.reserved = reserved;
+    countOnWorker(state, *task.worker, task.job->offer.kind, more);
+    countUse(state, queueOf(state, task.job->offer.id.team, task.job->offer.kind), more);
+    reindexWorker(state, *task.worker);
+}
+
+void unreserveTask(scheduler &state, task_state &task)
+{
+    job_state &job = *task.job;
+    worker_state &worker = *task.worker;
+    notePreempted(state, task);
+    if (task.onVictims.is_linked()) {
+        task.onVictims.unlink();
     }
-    if (entry->second.waiting.erase(index) > 0) {
-        --state.waitingOfKind.at(kindIndex(job.kind));
+    task.onWorker.unlink();
+    countTask(state, job, worker, false);
+    countOnWorker(state, worker, job.offer.kind, task.reserved * -1);
+    countUse(state, queueOf(state, job.offer.id.team, job.offer.kind), task.reserved * -1);
+    reindexWorker(state, worker);
+    job.placed.erase(task_index(task.index));
+}
+
+void adoptTask(scheduler &state, const job_offer &offer, task_index index, const worker_id &name)
+{
+    const auto worker = state.workers.find(name);
+    CHECK(worker != state.workers.end()) << "a task of " << offer.id << " was found on unknown worker " << name;
+    job_state &job = findOrAddJob(state, offer);
+    if (job.placed.contains(index)) {
+        return;
     }
-    reserve(state, entry->second, index, target->second);
+    stopWaiting(state, job, index);
+    reserveTask(state, job, index, worker->second, job.offer.need);
 }
 
-void releaseTask(scheduler &state, const task_key &task)
+void releaseTask(scheduler &state, const task_key &key)
 {
-    const auto job = state.jobs.find(task.job);
-    if (job == state.jobs.end()) {
+    const auto found = state.jobs.find(key.job);
+    if (found == state.jobs.end()) {
         return;
     }
-    const auto placed = job->second.placed.find(task.index);
-    if (placed == job->second.placed.end()) {
+    job_state &job = found->second;
+    const auto placed = job.placed.find(key.index);
+    if (placed == job.placed.end()) {
         return;
     }
-    worker_entry &worker = state.workers.at(placed->second);
-    const resources &need = job->second.offer.need;
-    worker.reserved = worker.reserved - need;
-    --worker.tasks;
-    resources &teamUse = state.teamUse[task.job.team];
-    teamUse = teamUse - need;
-    resources &kindUse = state.kindUse.at(kindIndex(job->second.offer.kind));
-    kindUse = kindUse - need;
-    job->second.placed.erase(placed);
-    eraseIfEmpty(state, task.job);
+    const worker_state &worker = *placed->second->worker;
+    const team_queue &queue = queueOf(state, job.offer.id.team, job.offer.kind);
+    unreserveTask(state, *placed->second);
+    unblockAfterRelease(state, queue, worker);
+    dropIfIdle(state, job);
 }
 
-bool noteOutcome(scheduler &, const work_id &, const worker_id &, bool, time_point)
+bool noteOutcome(scheduler &state, const work_id &work, const worker_id &worker, bool succeeded, time_point now)
 {
-    return false;
+    return noteHealth(state, work, worker, succeeded, now);
 }
 
-std::vector<overuse_action> noteUsage(scheduler &, const std::vector<usage_sample> &)
+std::vector<overuse_action> noteUsage(scheduler &state, const std::vector<usage_sample> &samples)
 {
-    return {};
+    return learnUsage(state, samples);
 }
 
 std::string explainWait(const scheduler &state, const job_id &job)
 {
-    const auto entry = state.jobs.find(job);
-    if (entry == state.jobs.end() || entry->second.waiting.empty()) {
-        return {};
-    }
-    const job_offer &offer = entry->second.offer;
-    if (!quotaAllows(state, offer.id.team, offer.need)) {
-        return "the quota of team " + offer.id.team.value + " is used up";
-    }
-    if (!capAllows(state, offer.kind, offer.need)) {
-        return std::string(workKindName(offer.kind)) + " work holds its cap of the data centre";
-    }
-    return "no worker has enough free capacity";
+    return describeWait(state, job);
 }
 
 scheduler_summary summarize(const scheduler &state)
 {
     scheduler_summary summary;
     summary.workers = state.workers.size();
-    summary.capacity = placeableCapacity(state);
-    for (const auto &[name, worker] : state.workers) {
-        summary.placeableWorkers += worker.offer.placeable ? 1 : 0;
-        summary.placedTasks += worker.tasks;
-        summary.reserved = summary.reserved + worker.reserved;
-    }
-    for (const std::size_t waiting : state.waitingOfKind) {
-        summary.waitingTasks += waiting;
+    summary.placeableWorkers = state.placeableWorkers;
+    summary.setAsideWorkers = state.setAsideWorkers;
+    for (const kind_state &kind : state.kinds) {
+        summary.waitingTasks += kind.waiting;
     }
+    summary.placedTasks = state.placedTasks;
+    summary.capacity = state.capacity;
+    summary.reserved = state.reservedEverywhere;
     return summary;
 }
 
+void applyPlacementPolicy(scheduler &state, const placement_policy &policy)
+{
+    state.policy = policy;
+}
+
 } // namespace sesamespar
