Declare membership, routing, configuration exchange, roster, archive and metrics

Cause: the daemon is written against these modules at the same time. Change: headers only, with empty sources.

--- /dev/null
+++ b/packages/connection/stored_configuration.cpp
@@ -0,0 +1,1 @@
+#include "connection/stored_configuration.h"
--- a/packages/connection/worker_api.h
+++ b/packages/connection/worker_api.h
@@ -11,12 +11,17 @@
 #include "base/units.h"
 #include "request/job_record.h"
 
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
 
 namespace sesamespar {
 
+/// Reading of a worker's own monotonic clock in milliseconds. Leases are given as points on this clock, so
+/// that a call that was delayed on its way cannot extend a lease past what its sender believes.
+using worker_clock = strong_value<struct worker_clock_tag, std::int64_t>;
+
 /// Control lease that a call acts under.
 struct control_token {
     epoch_number epoch;
@@ -24,11 +29,12 @@
 };
 
 /// Takes, renews or releases the control lease, renews the leases of all tasks on the worker, and waits
-/// for events. Path /v1/control.
+/// for events. A request with epoch 0 is a probe: it is never granted and changes nothing. Path /v1/control.
 struct control_request {
     control_token token;
-    milliseconds lease{0}; ///< Length of the lease from its arrival.
-    milliseconds taskLease{0}; ///< Length of the renewed task leases from arrival; 0 leaves them as they are.
+    worker_clock sentAt; ///< The sender's lower bound of the worker's clock at the time of sending.
+    milliseconds lease{
+        0}; ///< The control lease lasts until `sentAt` + `lease`, each task's until `sentAt` + its own lease.
     milliseconds wait{0}; ///< Waits so long for an event after `after` before it answers.
     event_sequence after; ///< Last event that the caller has handled; earlier ones may be dropped.
     config_version version; ///< Configuration in force at the caller.
@@ -60,11 +66,12 @@
     resources used;
 };
 
-/// Answer to control. If `granted` is false, the other lease's epoch and holder are given and the rest is empty.
+/// Answer to control. If `granted` is false, events and usage are empty and no event is waited for.
 struct control_reply {
     bool granted = false;
     control_token current; ///< Lease in force after the call.
     milliseconds remaining{0}; ///< Until the lease in force lapses; 0 if it has lapsed or was released.
+    worker_clock clock; ///< The worker's clock when it answers.
     incarnation_id instance; ///< Changes when the worker restarts; then all its tasks and records are gone.
     resources capacity;
     bool draining = false;
@@ -99,11 +106,17 @@
     std::uint64_t nextPage = 0; ///< 0 if this is the last page.
 };
 
+/// Removes a record if its revision is not above the given one.
+struct record_drop {
+    job_id id;
+    record_revision revision;
+};
+
 /// Stores and removes records. A stored record never replaces one of a higher revision. Path /v1/records.
 struct write_records_request {
     control_token token;
     std::vector<job_record> put;
-    std::vector<job_id> drop;
+    std::vector<record_drop> drop;
 };
 
 /// Answer to write_records: all of it was done, or none.
@@ -117,7 +130,7 @@
     task_id task;
     resources need;
     milliseconds runTime{0}; ///< Declared run time.
-    milliseconds lease{0}; ///< First length of the task's lease.
+    milliseconds lease{0}; ///< Length of the task's lease from the `sentAt` of each renewal.
     work_id work;
     std::string payload;
 };
@@ -128,9 +141,12 @@
     millicores limit;
 };
 
-/// Commands for tasks. Path /v1/commands.
+/// Commands for tasks. A worker whose clock is past `sentAt` + `validity` takes none of them, so that a start
+/// that was delayed on its way cannot run a task that was placed elsewhere since. Path /v1/commands.
 struct commands_request {
     control_token token;
+    worker_clock sentAt; ///< The sender's lower bound of the worker's clock at the time of sending.
+    milliseconds validity{0};
     std::vector<start_command> start; ///< A task id that is known already is not started again.
     std::vector<task_id> stop; ///< Also bars a start of the same id that arrives later.
     std::vector<task_id> checkpoint;
@@ -149,6 +165,7 @@
 struct commands_reply {
     bool accepted = false;
     control_token current;
+    worker_clock clock; ///< The worker's clock when it answers.
     std::vector<rejected_start> rejected;
 };
 
--- /dev/null
+++ b/packages/process/archive.cpp
@@ -0,0 +1,1 @@
+#include "process/archive.h"
--- /dev/null
+++ b/packages/process/config_exchange.cpp
@@ -0,0 +1,1 @@
+#include "process/config_exchange.h"
--- /dev/null
+++ b/packages/process/membership.cpp
@@ -0,0 +1,1 @@
+#include "process/membership.h"
--- /dev/null
+++ b/packages/process/metrics.cpp
@@ -0,0 +1,1 @@
+#include "process/metrics.h"
--- /dev/null
+++ b/packages/process/roster.cpp
@@ -0,0 +1,1 @@
+#include "process/roster.h"
--- /dev/null
+++ b/packages/process/routing.cpp
@@ -0,0 +1,1 @@
+#include "process/routing.h"
--- a/packages/request/job_record.h
+++ b/packages/request/job_record.h
@@ -42,6 +42,7 @@
     attempt_number attempt; ///< 0 before the first attempt.
     task_state state = task_state::Waiting;
     worker_id worker; ///< Of the latest attempt; empty before the first.
+    incarnation_id instance; ///< Of that worker when the task was claimed for it.
     std::string result; ///< What the task reported, at most 4 KiB.
 
     bool operator==(const task_record &) const = default;
