Route callers' requests to the leader of their home data centre

Cause: front ends hand requests on, repeat them and answer each caller once. Ruled out: passing on "refused", "conflict" or "expired" after more than one copy was sent, because a second copy on its way may still be taken; the caller is told "unknown" then.

--- a/packages/process/routing.h
+++ b/packages/process/routing.h
@@ -8,6 +8,7 @@
 #include "version/configuration.h"
 #include "version/daemon_settings.h"
 
+#include <map>
 #include <optional>
 #include <random>
 #include <set>
@@ -35,7 +36,15 @@
     std::optional<daemon_id> sentTo; ///< Daemon that it was sent to last.
     unsigned sends = 0; ///< Times that the call itself, not a poll, was sent on.
     unsigned retries = 0; ///< For the backoff.
-    std::optional<job_answer> latest; ///< Newest answer that is not the last one.
+    std::optional<job_answer> latest; ///< Newest answer that does not end the request: Accepted or Unknown.
+};
+
+/// Leader of a data centre as requests were last sent on by it.
+struct known_leader {
+    std::optional<daemon_id> name;
+    bool complete = false;
+
+    bool operator==(const known_leader &) const = default;
 };
 
 /// State of routing at one front end.
@@ -45,6 +54,7 @@
     std::uint64_t lastCorrelation = 0; ///< Starts at random, so that answers to a former process match nothing.
     std::unordered_map<correlation_id, open_request> open;
     std::set<std::pair<time_point, correlation_id>> due; ///< One entry for each open request, at its `next`.
+    std::map<data_centre_id, known_leader> leaders; ///< As onLeaderChange() last saw them.
     std::optional<time_point> drainUntil; ///< Set while draining: no request is held longer.
     std::uint64_t droppedAnswers = 0; ///< Answers whose request was gone.
     std::uint64_t withheldRetries = 0; ///< Retries that the budget did not allow.
@@ -62,13 +72,15 @@
                   const clock_reading &now,
                   outbox &out);
 
-/// Handles an answer; one whose request is gone is dropped.
+/// Handles an answer; one whose request is gone is dropped. An answer that says that the request was not run
+/// only counts if the request was sent once: a second copy on its way could still be taken, so the caller
+/// is told Unknown then.
 void onForwardAnswer(
     routing &state, const daemon_id &sender, const forward_answer &answer, const clock_reading &now, outbox &out);
 
-/// Sends on, without delay, the requests whose leader has changed. Called after a heartbeat or when this
-/// daemon begins or ceases to lead.
-void onLeaderChange(routing &state, const membership &view, const clock_reading &now, outbox &out);
+/// Makes the requests due whose leader has changed or became complete, spread over a short time. Called after
+/// a heartbeat and when this daemon begins or ceases to lead; cheap if nothing has changed.
+void onLeaderChange(routing &state, const membership &view, const clock_reading &now);
 
 /// Takes no new requests from now on, and answers the open ones until `limit`.
 void startDraining(routing &state, time_point limit, const clock_reading &now);
