--- a/test/fuzz/routing_model.cpp
+++ b/test/fuzz/routing_model.cpp
@@ -126,7 +126,7 @@
         out.clear();
     }
 
-    void start(job_call call)
+    void start(const job_call &call)
     {
         const front_end_request_id id(requests.size() + 1);
         requests[id].call = call;
