--- a/packages/request/job_record.h
+++ b/packages/request/job_record.h
@@ -16,6 +16,9 @@
 
 namespace sesamespar {
 
+/// Largest result of a task in bytes.
+constexpr std::size_t maxResultBytes = 4096;
+
 /// How far one task is.
 enum class task_state {
     Waiting, ///< No attempt is under way.
@@ -42,6 +45,7 @@
     attempt_number attempt; ///< 0 before the first attempt.
     task_state state = task_state::Waiting;
     worker_id worker; ///< Of the latest attempt; empty before the first.
+    incarnation_id instance; ///< Of that worker when the task was claimed for it.
     std::string result; ///< What the task reported, at most 4 KiB.
 
     bool operator==(const task_record &) const = default;
