Add the command of operators and callers

Change: ten verbs with popt, one file for each group. The exit status is 0 for an answer, 1 for a refusal without change, 2 for wrong usage or an invalid file, 3 for an unknown outcome. The key and expiry of a submission are printed to stderr before it is sent, and an unknown outcome comes with the command line that repeats the same request.

Failed and cancelled jobs end with status 0, because the question was answered; lost ones with 3, because the outcome is not known.

Ruled out: the secret as an option, since other users see command lines.

--- /dev/null
+++ b/apps/sesamespar/configuration_commands.h
@@ -0,0 +1,17 @@
+// The verbs check, apply and show.
+#pragma once
+
+#include "command_line.h"
+
+namespace sesamespar {
+
+/// Checks a file offline.
+exit_status runCheck(const command_options &options);
+
+/// Applies a file, whole or not at all, and prints the version in force.
+exit_status runApply(const command_options &options);
+
+/// Prints the configuration in force.
+exit_status runShow(const command_options &options);
+
+} // namespace sesamespar
--- /dev/null
+++ b/apps/sesamespar/job_commands.h
@@ -0,0 +1,17 @@
+// The verbs submit, status and cancel.
+#pragma once
+
+#include "command_line.h"
+
+namespace sesamespar {
+
+/// Submits a job from a file or stdin.
+exit_status runSubmit(const command_options &options);
+
+/// Prints the state of a job.
+exit_status runStatus(const command_options &options);
+
+/// Cancels a job.
+exit_status runCancel(const command_options &options);
+
+} // namespace sesamespar
--- a/apps/sesamespar/main.cpp
+++ b/apps/sesamespar/main.cpp
@@ -1,6 +1,42 @@
 // The command of operators and callers.
+#include "command_line.h"
+#include "configuration_commands.h"
+#include "job_commands.h"
+#include "node_commands.h"
 
-int main()
+#include <array>
+#include <exception>
+
+namespace {
+
+using namespace sesamespar;
+
+std::array<command_verb, 10> makeVerbs()
+{
+    using enum option_group;
+    return {{
+        {"check", "FILE", "Check a configuration file offline.", {}, runCheck},
+        {"apply", "FILE", "Apply a configuration file, whole or not at all.", {Daemon, Expect}, runApply},
+        {"show", "", "Print the configuration in force.", {Daemon}, runShow},
+        {"submit", "FILE|-", "Submit the job that a YAML or JSON file describes.", {Daemon, Submission}, runSubmit},
+        {"status", "TEAM/KEY", "Print the state of a job.", {Daemon, Wait}, runStatus},
+        {"cancel", "TEAM/KEY", "Cancel a job.", {Daemon}, runCancel},
+        {"drain", "VM", "Give a VM no new tasks and move its services.", {Daemon}, runDrain},
+        {"nodes", "", "Print the daemons and workers that a daemon sees.", {Daemon}, runNodes},
+        {"dump", "", "Print the state of a daemon.", {Daemon}, runDump},
+        {"metrics", "", "Print the metrics of a daemon.", {Daemon}, runMetrics},
+    }};
+}
+
+} // namespace
+
+int main(int argc, const char **argv)
 {
-    return 0;
+    try {
+        return static_cast<int>(runCommandLine(argc, argv, makeVerbs()));
+    } catch (const std::exception &failure) {
+        // Nothing is expected to end here. What was sent by then is not known.
+        printError(std::string("internal error: ") + failure.what());
+        return static_cast<int>(exit_status::Unknown);
+    }
 }
