--- /dev/null
+++ b/test/error/command_line.cpp
@@ -0,0 +1,195 @@
+// The built command ends with the documented exit status and names what is wrong. Guards against scripts that
+// take a refused or invalid request for a done one, and against secrets on the command line.
+#include <sys/wait.h>
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <string>
+#include <vector>
+
+namespace {
+
+/// What a run of the command left behind.
+struct run_result {
+    int status = -1;
+    std::string output; ///< stdout, or stderr if asked for.
+};
+
+run_result runShell(const std::string &command)
+{
+    run_result run;
+    FILE *pipe = popen(command.c_str(), "r");
+    REQUIRE(pipe != nullptr);
+    char buffer[4096];
+    std::size_t count = 0;
+    while ((count = fread(buffer, 1, sizeof(buffer), pipe)) > 0) {
+        run.output.append(buffer, count);
+    }
+    const int status = pclose(pipe);
+    run.status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return run;
+}
+
+/// Runs the command without settings in the environment and keeps its stderr.
+run_result runForErrors(const std::string &arguments)
+{
+    return runShell("env -u SESAMESPAR_SECRET -u SESAMESPAR_DAEMONS " COMMAND " " + arguments
+                    + " 2>&1 >/dev/null </dev/null");
+}
+
+/// Runs the command and keeps its stdout.
+run_result runForResult(const std::string &arguments)
+{
+    return runShell("env -u SESAMESPAR_SECRET -u SESAMESPAR_DAEMONS " COMMAND " " + arguments
+                    + " 2>/dev/null </dev/null");
+}
+
+/// A file of this test in the build folder.
+std::string writeFile(const std::string &name, const std::string &text)
+{
+    const std::string path = WORK_FOLDER "/command_line_" + name;
+    std::ofstream stream(path, std::ios::binary);
+    stream << text;
+    return path;
+}
+
+void checkUsage(const std::string &arguments, const std::string &message)
+{
+    const run_result run = runForErrors(arguments);
+    INFO(arguments);
+    CHECK(run.status == 2);
+    CHECK(run.output == "sesamespar: " + message + '\n');
+}
+
+const std::string someDaemon = " --daemon 127.0.0.1:1 ";
+
+} // namespace
+
+TEST_CASE("wrong usage ends with status 2 and names the fault")
+{
+    checkUsage("", "the verb is missing; see sesamespar --help");
+    checkUsage("chek f", "unknown verb \"chek\", did you mean check?; see sesamespar --help");
+    checkUsage("--output json show", "the verb must come before its options; see sesamespar --help");
+    checkUsage("check", "FILE is missing; see sesamespar check --help");
+    checkUsage("status", "TEAM/KEY is missing; see sesamespar status --help");
+    checkUsage("check a b", "unexpected argument \"b\"; see sesamespar check --help");
+    checkUsage("nodes x", "unexpected argument \"x\"; see sesamespar nodes --help");
+    checkUsage("check --daemon 127.0.0.1:1 f", "--daemon: unknown option; see sesamespar check --help");
+    checkUsage("show --daemon", "--daemon: missing argument; see sesamespar show --help");
+    checkUsage("show --daemon x", "--daemon: \"x\" is not an address, expected HOST:PORT; see sesamespar show --help");
+    checkUsage("nodes --output xml",
+               "--output: \"xml\" is not allowed, expected json or table; see sesamespar nodes --help");
+    checkUsage("apply f --expect -1",
+               "--expect: \"-1\" is negative, expected the number of a version; see sesamespar apply --help");
+    checkUsage("status t/k --wait 61s",
+               "--wait: \"61s\" is too large, expected at most 1m; see sesamespar status --help");
+    checkUsage("show --limit 5",
+               "--limit: \"5\" has no unit, expected a duration such as 500ms, 30s or 10m; see sesamespar show "
+               "--help");
+}
+
+TEST_CASE("a secret on the command line is not accepted")
+{
+    checkUsage("show --secret abc", "--secret: unknown option; see sesamespar show --help");
+    CHECK(runForResult("show --help").output.find("secret-file=FILE") != std::string::npos);
+}
+
+TEST_CASE("a call without a daemon or a secret ends with status 2")
+{
+    checkUsage("show", "no daemon, expected --daemon HOST:PORT or SESAMESPAR_DAEMONS in the environment");
+    checkUsage("show" + someDaemon, "no secret, expected --secret-file FILE or SESAMESPAR_SECRET in the environment");
+    checkUsage("show" + someDaemon + "--secret-file " + writeFile("empty", ""),
+               "the secret is empty or has spaces or other characters");
+    checkUsage("show" + someDaemon + "--secret-file " + writeFile("spaces", "a b\n"),
+               "the secret is empty or has spaces or other characters");
+    const run_result run = runShell("SESAMESPAR_DAEMONS=127.0.0.1:1,,x " COMMAND " show 2>&1");
+    CHECK(run.status == 2);
+    CHECK(run.output
+          == "sesamespar: SESAMESPAR_DAEMONS: \"\" is not an address, expected HOST:PORT; see sesamespar show "
+             "--help\n");
+}
+
+TEST_CASE("arguments of the wrong form end with status 2")
+{
+    checkUsage("status desk" + someDaemon, "\"desk\" is not TEAM/KEY, expected the name of a team, a slash and a key");
+    checkUsage("cancel Desk/1" + someDaemon,
+               "\"Desk/1\" is not TEAM/KEY, expected the name of a team, a slash and a key");
+    checkUsage("drain A" + someDaemon, "\"A\" is not the name of a VM");
+    checkUsage("check " WORK_FOLDER "/no-such-file",
+               "cannot open \"" WORK_FOLDER "/no-such-file\": No such file or directory");
+}
+
+TEST_CASE("an invalid file ends with status 2 and all findings, and is not sent")
+{
+    const std::string file = writeFile("invalid.yaml", "cell: C\ndata_centres: [d]\nretention: 1\n");
+    const std::string findings = file
+        + ":1:7: cell: \"C\" is not a name, expected a-z, 0-9 and -, not first -, at most 128 characters\n" + file
+        + ":3:12: retention: \"1\" has no unit, expected a duration such as 500ms, 90s, 10m or 24h, from 1m to 24h\n";
+    for (const std::string &arguments : std::vector<std::string>{"check " + file, "apply " + file + someDaemon}) {
+        const run_result run = runForErrors(arguments);
+        CHECK(run.status == 2);
+        CHECK(run.output == findings);
+    }
+    const run_result json = runForResult("check --output json " + file);
+    CHECK(json.status == 2);
+    CHECK(json.output.find("\"line\":3,\"column\":12,\"field\":\"retention\"") != std::string::npos);
+}
+
+TEST_CASE("an invalid description of a job ends with status 2 and all findings")
+{
+    const std::string file = writeFile("job.yaml", "team: T\nwork: w\nkey: 'a b'\nexpires: soon\ntasks: 0\nwait: 2m\n");
+    const run_result run = runForErrors("submit " + file + someDaemon + "--expires never");
+    CHECK(run.status == 2);
+    CHECK(run.output
+          == file + ":0:0: --expires: \"never\" is not a time, expected a time such as 2026-12-04T10:00:00Z or +1h\n"
+              + file + ":1:7: team: \"T\" is not a name, expected a-z, 0-9 and -, not first -, at most 128 characters\n"
+              + file + ":3:6: key: \"a b\" is not a key, expected 1 to 128 printable characters without spaces\n" + file
+              + ":4:10: expires: \"soon\" is not a time, expected a time such as 2026-12-04T10:00:00Z or +1h\n" + file
+              + ":5:8: tasks: \"0\" is too small, expected a whole number from 1 to 10000\n" + file
+              + ":6:7: wait: \"2m\" is too large, expected a duration such as 500ms, 90s, 10m or 24h, from 0ms to "
+                "1m\n");
+}
+
+TEST_CASE("a valid file ends with status 0")
+{
+    const std::string file = writeFile("valid.yaml", "cell: c\ndata_centres: [d]\n");
+    const run_result run = runForResult("check " + file);
+    CHECK(run.status == 0);
+    CHECK(run.output == file + ": valid, cell c, 1 data centres, 0 teams, 0 pieces of work\n");
+    const run_result json = runForResult("check --output json " + file);
+    CHECK(json.status == 0);
+    CHECK(json.output == "{\"findings\":[]}\n");
+}
+
+TEST_CASE("help and version end with status 0")
+{
+    for (const std::string verb :
+         {"", "check", "apply", "show", "submit", "status", "cancel", "drain", "nodes", "dump", "metrics"}) {
+        const run_result help = runForResult(verb + " --help");
+        CHECK(help.status == 0);
+        CHECK(help.output.find("Usage: sesamespar " + (verb.empty() ? "VERB" : verb)) != std::string::npos);
+        const run_result version = runForResult(verb + " --version");
+        CHECK(version.status == 0);
+        CHECK(version.output.substr(0, 11) == "sesamespar ");
+    }
+}
+
+TEST_CASE("no reachable daemon means that nothing was changed")
+{
+    // Nothing listens on port 1 of the loopback address.
+    const std::string secret = "--limit 300ms --secret-file " + writeFile("secret", "a-secret-of-callers\n");
+    const std::string cell = writeFile("valid.yaml", "cell: c\ndata_centres: [d]\n");
+    const std::string job = writeFile("valid-job.yaml", "{\"team\": \"t\", \"work\": \"w\", \"tasks\": 2}");
+    for (const std::string &call :
+         std::vector<std::string>{"apply " + cell, "submit " + job, "status t/k", "cancel t/k", "show"}) {
+        const run_result run = runForErrors(call + someDaemon + secret);
+        INFO(call);
+        CHECK(run.status == 1);
+        CHECK(run.output.find("no daemon could be reached") != std::string::npos);
+        CHECK(run.output.find("a-secret") == std::string::npos);
+    }
+    const run_result submitted = runForErrors("submit " + job + someDaemon + secret);
+    CHECK(submitted.output.substr(0, 13) == "submitting t/");
+}
