Test the scheduler's decisions and correct the faults that this showed

Cause: none of the decisions had a test. The tests found two faults: a cap of 100% was reported as the cause of a wait, so that no capacity was held back for a starved task, and a few millicores of past demand kept the place of a whole task idle for minutes. Preemption was also limited to one victim set for each worker and pass; it now counts what it promised.

--- a/packages/process/fleet_index.h
+++ b/packages/process/fleet_index.h
@@ -31,6 +31,7 @@
     bool preempting = false; ///< A preemption was decided and the task was not released yet.
     bool stopping = false; ///< A stop or checkpoint for overuse was decided.
     struct job_lane *preemptedFor = nullptr; ///< Lane that waits for this task's capacity.
+    resources promised; ///< Need of that lane's task.
     task_list_hook onWorker;
     task_list_hook onVictims; ///< Linked while the task may be preempted.
     std::size_t victimPriority = 0; ///< List of victims that it is on.
@@ -65,7 +66,8 @@
     worker_health health;
     rack_state *rack = nullptr;
     bool placeable = false; ///< Placeable by its offer and not set aside.
-    std::uint32_t preempting = 0; ///< Tasks with a decided preemption.
+    resources promised; ///< Needs that decided preemptions make room for.
+    std::uint32_t promisedTasks = 0;
     bool held = false; ///< Kept for a job that waited too long.
     fleet_index *index = nullptr; ///< Index that it is in; null if it gets no tasks.
     std::size_t plane = 0;
--- a/packages/process/preemption.cpp
+++ b/packages/process/preemption.cpp
@@ -34,13 +34,22 @@
         && task.job->offer.preemptions + task.job->preempting < policy.preemptionLimit;
 }
 
+// True if the need fits once the victims and the tasks that are already being preempted are gone, and the work that
+// those make room for has come.
 bool roomWithout(const worker_state &worker, const resources &need, const std::vector<task_state *> &victims)
 {
-    resources left = worker.reserved;
+    resources left = worker.reserved + worker.promised;
+    std::size_t tasks = worker.tasks + worker.promisedTasks - victims.size();
+    for (const task_state &task : worker.running) {
+        if (task.preempting) {
+            left = left - task.reserved;
+            --tasks;
+        }
+    }
     for (const task_state *victim : victims) {
         left = left - victim->reserved;
     }
-    return worker.tasks - victims.size() < worker.slots && fits(left + need, worker.usable);
+    return tasks < worker.slots && fits(left + need, worker.usable);
 }
 
 // Victims on one worker, the least urgent and least often preempted first, without any that is not needed.
@@ -93,7 +102,7 @@
                 if (++examined > maxExamined) {
                     return best;
                 }
-                if (!task.worker->placeable || task.worker->preempting > 0 || !isVictim(state, task, priority)) {
+                if (!task.worker->placeable || !isVictim(state, task, priority)) {
                     continue;
                 }
                 victim_set found = victimsOn(state, *task.worker, need, priority);
@@ -140,11 +149,14 @@
             return;
         }
         ++lane.preempting;
-        victims.tasks.front()->preemptedFor = &lane;
+        task_state &first = *victims.tasks.front();
+        first.preemptedFor = &lane;
+        first.promised = lane.need;
+        first.worker->promised = first.worker->promised + lane.need;
+        ++first.worker->promisedTasks;
         for (task_state *victim : victims.tasks) {
             victim->preempting = true;
             ++victim->job->preempting;
-            ++victim->worker->preempting;
             state.kinds.at(kindIndex(victim->job->offer.kind)).preemptingProcessors +=
                 victim->reserved.processors.value;
             result.preemptions.push_back({{victim->job->offer.id, victim->index}, victim->worker->offer.name});
@@ -157,10 +169,11 @@
     if (task.preempting) {
         state.kinds.at(kindIndex(task.job->offer.kind)).preemptingProcessors -= task.reserved.processors.value;
         --task.job->preempting;
-        --task.worker->preempting;
     }
     if (task.preemptedFor != nullptr) {
         --task.preemptedFor->preempting;
+        --task.worker->promisedTasks;
+        task.worker->promised = task.worker->promised - task.promised;
     }
 }
 
--- a/packages/process/team_usage.cpp
+++ b/packages/process/team_usage.cpp
@@ -78,7 +78,9 @@
     for (const work_kind name : allWorkKinds) {
         kind_state &kind = state.kinds.at(kindIndex(name));
         const std::int64_t current = kind.used.processors.value + servableWait(state, name);
-        kind.demand = std::max(current, static_cast<std::int64_t>(static_cast<double>(kind.demand) * kept));
+        const auto recent = static_cast<std::int64_t>(static_cast<double>(kind.demand) * kept);
+        // A remainder of a few millicores would keep the place of a whole task idle.
+        kind.demand = std::max(current, recent * 100 < state.capacity.processors.value ? 0 : recent);
         if (passed > 0) {
             const double weight = 1 - std::exp(-passed / rateSeconds);
             const double rate = static_cast<double>(kind.started) / passed;
@@ -130,7 +132,9 @@
 
 bool capCanHold(const scheduler &state, work_kind kind, std::int64_t processors)
 {
-    return processors <= percentOf(state, policyOf(*state.settings, kind).capPercent);
+    // Without a cap, the fleet's size is the limit, and what exceeds it lacks room rather than allowance.
+    const int percent = policyOf(*state.settings, kind).capPercent;
+    return percent >= 100 || processors <= percentOf(state, percent);
 }
 
 } // namespace sesamespar
--- /dev/null
+++ b/test/correctness/worker_health.cpp
@@ -0,0 +1,147 @@
+// Workers that fail every task are set aside, and work that fails everywhere is blamed instead. Guards against a
+// broken worker that swallows the queue, and against broken work that takes healthy workers out of service.
+#include "../fixtures/scheduler_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sesamespar;
+using namespace sesamespar::fixture;
+
+namespace {
+
+worker_id worker(int number)
+{
+    return makeWorker(number, {}).name;
+}
+
+scheduler_ptr makeFleet(int workers)
+{
+    auto state = makeScheduler(makeConfiguration());
+    addWorkers(*state, workers, amount(16, 32));
+    return state;
+}
+
+// Sets one worker aside through failures of works of its own.
+bool failWorker(scheduler &state, int number, time_point now = at(0))
+{
+    bool changed = false;
+    for (int failure = 0; failure < 3; ++failure) {
+        const work_id work("work" + std::to_string(number) + "-" + std::to_string(failure));
+        changed = noteOutcome(state, work, worker(number), false, now) || changed;
+    }
+    return changed;
+}
+
+} // namespace
+
+TEST_CASE("a worker on which different work fails is set aside")
+{
+    const auto state = makeFleet(8);
+    CHECK(failWorker(*state, 0));
+    CHECK(summarize(*state).setAsideWorkers == 1);
+    CHECK(summarize(*state).placeableWorkers == 7);
+    submit(*state, makeJob("a", "1", work_kind::Batch, amount(1, 1), 64));
+    for (const placement &each : schedule(*state, at(0), 100).placements) {
+        CHECK(each.worker != worker(0));
+    }
+}
+
+TEST_CASE("a worker on which one work fails again and again, and which succeeds elsewhere, is set aside")
+{
+    const auto state = makeFleet(8);
+    for (int failure = 0; failure < 5; ++failure) {
+        CHECK(summarize(*state).setAsideWorkers == 0);
+        noteOutcome(*state, work_id("w"), worker(1), true, at(0));
+        noteOutcome(*state, work_id("w"), worker(0), false, at(0));
+    }
+    CHECK(summarize(*state).setAsideWorkers == 1);
+}
+
+TEST_CASE("a success between failures keeps a worker in service")
+{
+    const auto state = makeFleet(8);
+    for (int failure = 0; failure < 20; ++failure) {
+        noteOutcome(*state, work_id("w" + std::to_string(failure)), worker(0), false, at(0));
+        noteOutcome(*state, work_id("good"), worker(0), true, at(0));
+    }
+    CHECK(summarize(*state).setAsideWorkers == 0);
+}
+
+TEST_CASE("no more than the configured share of the workers is set aside")
+{
+    const auto state = makeFleet(8);
+    for (int number = 0; number < 8; ++number) {
+        failWorker(*state, number);
+    }
+    CHECK(summarize(*state).setAsideWorkers == 2);
+    CHECK(summarize(*state).placeableWorkers == 6);
+}
+
+TEST_CASE("work that fails on three workers is blamed and the workers are cleared")
+{
+    const auto state = makeFleet(8);
+    for (int failure = 0; failure < 5; ++failure) {
+        noteOutcome(*state, work_id("bad"), worker(0), false, at(0));
+    }
+    REQUIRE(summarize(*state).setAsideWorkers == 1);
+    CHECK_FALSE(noteOutcome(*state, work_id("bad"), worker(1), false, at(0)));
+    CHECK(noteOutcome(*state, work_id("bad"), worker(2), false, at(0)));
+    CHECK(summarize(*state).setAsideWorkers == 0);
+    for (int number = 0; number < 8; ++number) {
+        for (int failure = 0; failure < 20; ++failure) {
+            CHECK_FALSE(noteOutcome(*state, work_id("bad"), worker(number), false, at(0)));
+        }
+    }
+    CHECK(summarize(*state).placeableWorkers == 8);
+}
+
+TEST_CASE("a worker returns on probation, with one task at a time until one succeeds")
+{
+    const auto state = makeFleet(4);
+    failWorker(*state, 0);
+    REQUIRE(summarize(*state).setAsideWorkers == 1);
+    submit(*state, makeJob("a", "1", work_kind::Batch, amount(1, 1), 100));
+    REQUIRE(schedule(*state, at(59000), 100).placements.size() == 24);
+    const auto result = schedule(*state, at(61000), 100);
+    REQUIRE(result.placements.size() == 1);
+    CHECK(result.placements.front().worker == worker(0));
+
+    SECTION("a success ends the probation")
+    {
+        noteOutcome(*state, work_id("w"), worker(0), true, at(62000));
+        CHECK(schedule(*state, at(62000), 100).placements.size() == 7);
+    }
+    SECTION("one failure sets it aside again, for longer")
+    {
+        CHECK(noteOutcome(*state, work_id("w"), worker(0), false, at(62000)));
+        schedule(*state, at(150000), 100);
+        CHECK(summarize(*state).setAsideWorkers == 1);
+        schedule(*state, at(190000), 100);
+        CHECK(summarize(*state).setAsideWorkers == 0);
+    }
+}
+
+TEST_CASE("a task that failed on a worker is tried on another one")
+{
+    const auto state = makeFleet(2);
+    const auto job = makeJob("a", "1", work_kind::Batch, amount(1, 1));
+    submit(*state, job);
+    const auto first = schedule(*state, at(0), 100);
+    REQUIRE(first.placements.size() == 1);
+    noteOutcome(*state, job.work, first.placements.front().worker, false, at(0));
+    releaseTask(*state, {job.id, task_index(0)});
+    submit(*state, job);
+    const auto second = schedule(*state, at(0), 100);
+    REQUIRE(second.placements.size() == 1);
+    CHECK(second.placements.front().worker != first.placements.front().worker);
+}
+
+TEST_CASE("a worker that was set aside and removed does not count any more")
+{
+    const auto state = makeFleet(8);
+    failWorker(*state, 0);
+    removeWorker(*state, worker(0));
+    CHECK(summarize(*state).workers == 7);
+    CHECK(summarize(*state).setAsideWorkers == 0);
+    CHECK(summarize(*state).placeableWorkers == 7);
+}
