--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 	@ctest --test-dir $(BUILD) --output-on-failure
 
 check: build format-check lint test
+
+measure: build
+	@$(BUILD)/bin/measure_decisions
