--- a/packages/connection/front_end.h
+++ b/packages/connection/front_end.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -74,7 +75,7 @@
 /// Completes a request. May be called from any thread; an unknown or completed id is ignored.
 void answerFrontEnd(front_end &frontEnd, front_end_request_id id, const front_end_answer &answer);
 
-/// Refuses new requests from now on, with status 503 and a body that says that they were not run.
+/// Refuses requests that are not yet whole from now on, with status 503 and a body that says that they were not run.
 void refuseNewRequests(front_end &frontEnd);
 
 /// Number of requests that are not yet answered with all bytes handed to the network.
--- a/packages/connection/outgoing_calls.h
+++ b/packages/connection/outgoing_calls.h
@@ -16,7 +16,8 @@
 
 /// Called once on a traffic thread. Errors: Unreachable if the call was certainly not sent (connection
 /// refused), Unknown if it may have taken effect (timeout, connection lost, status 5xx), InvalidInput
-/// if the answer was malformed, Overloaded if the store refused it for its rate (status 429).
+/// if the answer was malformed or has another status, Overloaded if the receiver refused it for its rate
+/// (status 429) or too many calls to it are under way already; then it was not sent.
 using worker_done = std::function<void(result<worker_reply>)>;
 using store_done = std::function<void(result<store_reply>)>;
 
--- a/packages/connection/peer_links.h
+++ b/packages/connection/peer_links.h
@@ -31,6 +31,9 @@
 /// again with backoff. Errors: InvalidInput if the address cannot be bound.
 result<std::shared_ptr<peer_links>> startPeerLinks(const daemon_settings &settings, peer_sink sink);
 
+/// Address that it listens on, with the port that the kernel chose if the settings name port 0.
+address boundPeerAddress(const peer_links &links);
+
 /// Sends a message to a peer if its link has room. May be called from any thread.
 void sendPeer(peer_links &links, const daemon_id &peer, const peer_message &message);
 
--- /dev/null
+++ b/packages/connection/traffic_threads.h
@@ -0,0 +1,10 @@
+// Number of threads of the HTTP library. It starts 40 unless it is told otherwise before its first use.
+#pragma once
+
+namespace sesamespar {
+
+/// Starts the HTTP library's threads. Call once at the start of the process; returns false and changes
+/// nothing if they are running already.
+bool initializeTrafficThreads(unsigned threads);
+
+} // namespace sesamespar
