--- a/packages/process/config_exchange.cpp
+++ b/packages/process/config_exchange.cpp
@@ -1,1 +1,490 @@
 #include "process/config_exchange.h"
+
+#include "base/log.h"
+#include "version/configuration_parser.h"
+
+#include <algorithm>
+
+namespace sesamespar {
+
+namespace {
+
+/// Name of the text in findings; operators apply one file.
+const std::string textName = "configuration";
+constexpr backoff_settings watchBackoff{milliseconds(250), milliseconds(5000)};
+constexpr backoff_settings changeBackoff{milliseconds(100), milliseconds(1000)};
+/// Least limit of a call that starts close to the end of changeLimit.
+constexpr milliseconds shortestCall{100};
+
+std::string keyOfConfiguration()
+{
+    return std::string(configurationKey);
+}
+
+void putInForce(config_exchange &state, configuration_ptr settings, const char *source)
+{
+    log_event("configuration_in_force").with("version", settings->version).with("source", source);
+    state.inForce = std::move(settings);
+}
+
+/// Puts a text in force if its version is higher and it can be parsed.
+bool takeText(config_exchange &state, config_version version, const std::string &text, const char *source)
+{
+    if (version <= versionInForce(state) || version == state.refusedVersion) {
+        return false;
+    }
+    parsed_configuration parsed = parseConfiguration(text, textName, version);
+    if (!parsed.settings) {
+        state.refusedVersion = std::max(state.refusedVersion, version);
+        ++state.refusedTexts;
+        log_event("configuration_unusable", log_level::Error)
+            .with("version", version)
+            .with("source", source)
+            .with("first", formatFinding(parsed.problems.front()));
+        return false;
+    }
+    putInForce(state, parsed.settings, source);
+    return true;
+}
+
+/// The stored value; version 0 if it is absent. Errors: InvalidInput if it is damaged or the reply is no value.
+result<stored_configuration> readStored(config_exchange &state, const store_reply &reply)
+{
+    const auto *value = std::get_if<store_value>(&reply);
+    if (value == nullptr) {
+        return makeError(error_kind::InvalidInput, "the store did not answer with a value");
+    }
+    state.watched = std::max(state.watched, value->revision);
+    if (value->revision.value == 0) {
+        return stored_configuration{};
+    }
+    auto stored = decodeStoredConfiguration(value->value);
+    if (!stored) {
+        ++state.refusedTexts;
+        log_event("configuration_damaged", log_level::Error)
+            .with("revision", value->revision)
+            .with("problem", stored.error().message);
+    }
+    return stored;
+}
+
+// The watch.
+
+void startWatch(config_exchange &state, time_point now, outbox &out)
+{
+    const milliseconds limit = state.timing.watch + state.timing.callTimeout;
+    state.watchSerial = ++state.lastSerial;
+    state.watchStarted = now;
+    state.watchDeadline = now + limit + state.timing.callTimeout;
+    const store_watch watch{keyOfConfiguration(), state.watched, state.timing.watch};
+    out.emplace_back(call_store{store_user::ConfigurationWatch, state.lastSerial, watch, limit});
+}
+
+void delayWatch(config_exchange &state, time_point now)
+{
+    state.watchAt = now + backoffDelay(watchBackoff, state.watchErrors, *state.random);
+    ++state.watchErrors;
+}
+
+void onWatchEnded(config_exchange &state, const store_call_ended &ended, time_point now)
+{
+    if (state.watchSerial != ended.serial) {
+        return;
+    }
+    state.watchSerial.reset();
+    if (!ended.outcome) {
+        delayWatch(state, now);
+        return;
+    }
+    const store_revision before = state.watched;
+    const auto stored = readStored(state, ended.outcome.value());
+    if (!stored) {
+        delayWatch(state, now);
+        return;
+    }
+    takeText(state, stored.value().version, stored.value().text, "store");
+    // A store that answers at once without news must not be asked in a tight loop.
+    if (state.watched == before && now - state.watchStarted < state.timing.watch / 2) {
+        delayWatch(state, now);
+        return;
+    }
+    state.watchErrors = 0;
+    state.watchAt = now;
+}
+
+// Changes by operators.
+
+void startCall(config_exchange &state, active_change &change, store_request request, time_point now, outbox &out)
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(change.deadline - now);
+    const milliseconds limit = std::max(shortestCall, std::min(state.timing.callTimeout, left));
+    change.callSerial = ++state.lastSerial;
+    change.callDeadline = now + 2 * limit;
+    out.emplace_back(call_store{store_user::ConfigurationWrite, state.lastSerial, std::move(request), limit});
+}
+
+void startStep(config_exchange &state, time_point now, outbox &out)
+{
+    active_change &change = *state.active;
+    if (change.step == change_step::Writing) {
+        startCall(state,
+                  change,
+                  store_put{keyOfConfiguration(), encodeStoredConfiguration(change.next), change.base},
+                  now,
+                  out);
+    } else {
+        startCall(state, change, store_get{keyOfConfiguration()}, now, out);
+    }
+}
+
+void retryStep(config_exchange &state, change_step step, time_point now)
+{
+    active_change &change = *state.active;
+    change.step = step;
+    change.retryAt = now + backoffDelay(changeBackoff, change.retries, *state.random);
+    ++change.retries;
+}
+
+void beginNext(config_exchange &state, time_point now, outbox &out);
+
+/// Answers the active change and begins the next one.
+void finishChange(config_exchange &state, text_answer answer, time_point now, outbox &out)
+{
+    log_event("configuration_change_ended").with("status", answer.status).with("version", versionInForce(state));
+    out.emplace_back(answer_front_end{state.active->id, std::move(answer)});
+    state.active.reset();
+    beginNext(state, now, out);
+}
+
+/// Takes the next waiting change up, or answers it if it is faulty or too late.
+void beginNext(config_exchange &state, time_point now, outbox &out)
+{
+    while (!state.active && !state.waiting.empty()) {
+        waiting_change next = std::move(state.waiting.front());
+        state.waiting.pop_front();
+        if (now >= next.deadline) {
+            out.emplace_back(answer_front_end{
+                next.id, changeRefusedAnswer("other changes took too long; this change was not written")});
+            continue;
+        }
+        const config_version guess(versionInForce(state).value + 1);
+        parsed_configuration parsed = parseConfiguration(next.call.text, textName, guess);
+        if (!parsed.settings) {
+            out.emplace_back(answer_front_end{next.id, changeInvalidAnswer(parsed.problems)});
+            continue;
+        }
+        active_change change;
+        change.id = next.id;
+        change.call = std::move(next.call);
+        change.deadline = next.deadline;
+        change.settings = parsed.settings;
+        state.active = std::move(change);
+        startStep(state, now, out);
+    }
+}
+
+/// The parsed text of the active change under its final version.
+configuration_ptr withVersion(const configuration_ptr &settings, config_version version)
+{
+    boost::intrusive_ptr<configuration> copy(new configuration(*settings));
+    copy->version = version;
+    return copy;
+}
+
+void pushToPeers(const config_exchange &state, outbox &out)
+{
+    for (const daemon_id &peer : state.peers) {
+        onConfigRequest(state, peer, out);
+    }
+}
+
+void finishApplied(config_exchange &state, time_point now, outbox &out)
+{
+    const config_version version = state.active->next.version;
+    if (version > versionInForce(state)) {
+        putInForce(state, withVersion(state.active->settings, version), "operator");
+    }
+    pushToPeers(state, out);
+    finishChange(state, changeAppliedAnswer(version), now, out);
+}
+
+/// Findings for what the change may not make to the version in force. Empty if there is none in force.
+findings transitionProblems(const config_exchange &state)
+{
+    if (!state.inForce) {
+        return {};
+    }
+    return checkTransition(*state.inForce, parsed_configuration{state.active->settings, {}}, textName);
+}
+
+/// Writes the change on top of what the store holds, unless it is superfluous, outdated or not allowed.
+void writeOnTop(
+    config_exchange &state, const stored_configuration &stored, store_revision revision, time_point now, outbox &out)
+{
+    active_change &change = *state.active;
+    if (stored.version.value > 0 && stored.text == change.call.text) {
+        finishChange(state, changeAppliedAnswer(stored.version), now, out);
+        return;
+    }
+    if (change.call.expected && *change.call.expected != stored.version) {
+        finishChange(
+            state,
+            changeConflictAnswer(stored.version, "another version than the expected one is in force; nothing changed"),
+            now,
+            out);
+        return;
+    }
+    findings problems = transitionProblems(state);
+    if (!problems.empty()) {
+        finishChange(state, changeInvalidAnswer(problems), now, out);
+        return;
+    }
+    const change_id name((*state.random)());
+    change.next = nextConfiguration(stored, config_version(stored.version.value + 1), name, change.call.text);
+    if (encodeStoredConfiguration(change.next).size() > maxStoreValueBytes) {
+        const finding tooLarge{textName, 0, 0, "", "text is too large for one value of the store", ""};
+        finishChange(state, changeInvalidAnswer({tooLarge}), now, out);
+        return;
+    }
+    change.base = revision;
+    change.step = change_step::Writing;
+    startStep(state, now, out);
+}
+
+void onRead(config_exchange &state, const result<store_reply> &outcome, time_point now, outbox &out)
+{
+    if (!outcome) {
+        retryStep(state, change_step::Reading, now);
+        return;
+    }
+    const auto stored = readStored(state, outcome.value());
+    if (!stored) {
+        finishChange(state,
+                     changeRefusedAnswer("the configuration in the store is damaged (" + stored.error().message
+                                         + "); nothing changed"),
+                     now,
+                     out);
+        return;
+    }
+    const stored_configuration &found = stored.value();
+    takeText(state, found.version, found.text, "store");
+    if (versionInForce(state) > found.version) {
+        // A newer version came from a peer after the store had read the value.
+        retryStep(state, change_step::Reading, now);
+        return;
+    }
+    if (versionInForce(state) < found.version) {
+        finishChange(
+            state, changeRefusedAnswer("this daemon cannot use the version in the store; nothing changed"), now, out);
+        return;
+    }
+    writeOnTop(state, found, std::get<store_value>(outcome.value()).revision, now, out);
+}
+
+void onWritten(config_exchange &state, const result<store_reply> &outcome, time_point now, outbox &out)
+{
+    active_change &change = *state.active;
+    const auto *reply = outcome ? std::get_if<store_put_reply>(&outcome.value()) : nullptr;
+    if (reply != nullptr && reply->applied) {
+        state.watched = std::max(state.watched, reply->revision);
+        finishApplied(state, now, out);
+        return;
+    }
+    if (reply != nullptr) {
+        // The client may have sent the call twice, so this does not yet mean that another change came first.
+        change.mayHaveApplied = true;
+        change.step = change_step::Checking;
+        startStep(state, now, out);
+        return;
+    }
+    const bool notTaken =
+        !outcome && (outcome.error().kind == error_kind::Unreachable || outcome.error().kind == error_kind::Overloaded);
+    if (notTaken) {
+        retryStep(state, change.mayHaveApplied ? change_step::Checking : change_step::Writing, now);
+        return;
+    }
+    change.mayHaveApplied = true;
+    retryStep(state, change_step::Checking, now);
+}
+
+void finishUnknown(config_exchange &state, const std::string &reason, time_point now, outbox &out)
+{
+    finishChange(
+        state, changeUnknownAnswer(reason + "; read the configuration, or apply the same text again"), now, out);
+}
+
+void onChecked(config_exchange &state, const result<store_reply> &outcome, time_point now, outbox &out)
+{
+    if (!outcome) {
+        retryStep(state, change_step::Checking, now);
+        return;
+    }
+    const auto stored = readStored(state, outcome.value());
+    if (!stored) {
+        retryStep(state, change_step::Checking, now);
+        return;
+    }
+    const active_change &change = *state.active;
+    const stored_configuration &found = stored.value();
+    const store_revision revision = std::get<store_value>(outcome.value()).revision;
+    const auto author = changeOf(found, change.next.version);
+    if (author == change.next.change) {
+        takeText(state, found.version, found.text, "store");
+        finishApplied(state, now, out);
+    } else if (author) {
+        takeText(state, found.version, found.text, "store");
+        finishChange(state,
+                     changeConflictAnswer(found.version, "another change came first; this one was not applied"),
+                     now,
+                     out);
+    } else if (found.version >= change.next.version) {
+        takeText(state, found.version, found.text, "store");
+        finishUnknown(state, "too many changes followed to tell whether this one was applied", now, out);
+    } else if (revision == change.base) {
+        // Not applied so far. The lost write may still arrive; the same content again makes no difference to it.
+        retryStep(state, change_step::Writing, now);
+    } else {
+        retryStep(state, change_step::Checking, now);
+    }
+}
+
+void onChangeCallEnded(config_exchange &state, const result<store_reply> &outcome, time_point now, outbox &out)
+{
+    state.active->callSerial.reset();
+    switch (state.active->step) {
+    case change_step::Reading:
+        onRead(state, outcome, now, out);
+        break;
+    case change_step::Writing:
+        onWritten(state, outcome, now, out);
+        break;
+    case change_step::Checking:
+        onChecked(state, outcome, now, out);
+        break;
+    }
+}
+
+void giveUpChange(config_exchange &state, time_point now, outbox &out)
+{
+    const active_change &change = *state.active;
+    const bool writing = change.step == change_step::Writing && change.callSerial;
+    if (change.mayHaveApplied || writing) {
+        finishUnknown(state, "the store did not confirm the change in time", now, out);
+    } else {
+        finishChange(state, changeRefusedAnswer("the store cannot be reached; the change was not written"), now, out);
+    }
+}
+
+void tickChange(config_exchange &state, time_point now, outbox &out)
+{
+    if (!state.active) {
+        return;
+    }
+    const active_change &change = *state.active;
+    if (now >= change.deadline) {
+        giveUpChange(state, now, out);
+    } else if (!change.callSerial && now >= change.retryAt) {
+        startStep(state, now, out);
+    } else if (change.callSerial && now >= change.callDeadline) {
+        onChangeCallEnded(state, makeError(error_kind::Unknown, "the call did not end in time"), now, out);
+    }
+}
+
+void tickWatch(config_exchange &state, time_point now, outbox &out)
+{
+    if (state.watchSerial && now >= state.watchDeadline) {
+        state.watchSerial.reset();
+        delayWatch(state, now);
+    }
+    if (!state.watchSerial && now >= state.watchAt) {
+        startWatch(state, now, out);
+    }
+}
+
+} // namespace
+
+config_exchange makeConfigExchange(const daemon_settings &settings, std::mt19937_64 &random, time_point now)
+{
+    config_exchange state;
+    for (const peer_settings &peer : settings.peers) {
+        state.peers.push_back(peer.name);
+    }
+    state.timing = settings.timing;
+    state.random = &random;
+    state.watchAt = now;
+    return state;
+}
+
+config_version versionInForce(const config_exchange &state)
+{
+    return state.inForce ? state.inForce->version : config_version(0);
+}
+
+void onApply(config_exchange &state,
+             front_end_request_id id,
+             const apply_configuration &call,
+             const clock_reading &now,
+             outbox &out)
+{
+    if (state.waiting.size() >= maxWaitingChanges) {
+        out.emplace_back(
+            answer_front_end{id, changeRefusedAnswer("too many changes wait; this change was not written")});
+        return;
+    }
+    state.waiting.push_back({id, call, now.monotonic + changeLimit});
+    beginNext(state, now.monotonic, out);
+}
+
+void onStoreReply(config_exchange &state, const store_call_ended &ended, const clock_reading &now, outbox &out)
+{
+    if (ended.user == store_user::ConfigurationWatch) {
+        onWatchEnded(state, ended, now.monotonic);
+    } else if (ended.user == store_user::ConfigurationWrite && state.active
+               && state.active->callSerial == ended.serial) {
+        onChangeCallEnded(state, ended.outcome, now.monotonic, out);
+    }
+}
+
+void onPeerVersion(
+    config_exchange &state, const daemon_id &peer, config_version version, const clock_reading &now, outbox &out)
+{
+    if (version <= versionInForce(state) || version == state.refusedVersion) {
+        return;
+    }
+    const auto asked = state.asked.find(peer);
+    if (asked != state.asked.end() && now.monotonic - asked->second < state.timing.heartbeat) {
+        return;
+    }
+    state.asked[peer] = now.monotonic;
+    out.emplace_back(send_peer{peer, config_request{}});
+}
+
+void onConfigRequest(const config_exchange &state, const daemon_id &peer, outbox &out)
+{
+    if (state.inForce) {
+        out.emplace_back(send_peer{peer, config_push{state.inForce->version, state.inForce->text}});
+    }
+}
+
+bool onConfigPush(config_exchange &state, const config_push &push)
+{
+    return takeText(state, push.version, push.text, "peer");
+}
+
+time_point nextWake(const config_exchange &state)
+{
+    time_point wake = state.watchSerial ? state.watchDeadline : state.watchAt;
+    if (state.active) {
+        const active_change &change = *state.active;
+        wake = std::min({wake, change.deadline, change.callSerial ? change.callDeadline : change.retryAt});
+    }
+    return wake;
+}
+
+void onTick(config_exchange &state, const clock_reading &now, outbox &out)
+{
+    tickWatch(state, now.monotonic, out);
+    tickChange(state, now.monotonic, out);
+}
+
+} // namespace sesamespar
--- a/packages/process/config_exchange.h
+++ b/packages/process/config_exchange.h
@@ -41,6 +41,7 @@
     front_end_request_id id;
     apply_configuration call;
     time_point deadline;
+    configuration_ptr settings; ///< Its text, parsed; the version is not final before Writing.
     change_step step = change_step::Reading;
     bool mayHaveApplied = false; ///< A write was sent whose outcome is not known.
     std::optional<std::uint64_t> callSerial; ///< Serial of the call under way.
@@ -70,6 +71,7 @@
     std::deque<waiting_change> waiting;
 
     std::map<daemon_id, time_point> asked; ///< When a peer was last asked for its configuration.
+    config_version refusedVersion; ///< Highest version whose text this daemon could not use; not asked for again.
     std::uint64_t refusedTexts = 0; ///< Texts from the store or peers that could not be used.
 };
 
--- a/packages/process/metrics.h
+++ b/packages/process/metrics.h
@@ -15,7 +15,7 @@
 /// Duration in milliseconds with a fraction.
 using fractional_milliseconds = std::chrono::duration<double, std::milli>;
 
-/// Most counters and values; further names are counted as one, "metrics_dropped".
+/// Most counters and values; what is noted under further names only counts as "metrics_dropped".
 constexpr std::size_t maxMetricNames = 512;
 
 /// The measurements. Opaque, since histograms need large library headers; used by the control thread only.
@@ -45,7 +45,8 @@
 /// Sets a value that may rise and fall, such as a queue length.
 void setValue(metrics &state, std::string_view name, double value);
 
-/// Renders NAME{LABEL="VALUE"} VALUE lines in order of their names. Times have a count, p50, p99 and max.
+/// Renders NAME{LABEL="VALUE"} VALUE lines: counters and values by name, then times with a count, max, p50 and
+/// p99. A quantile is at most 13% above the true one and never above the max.
 std::string renderMetrics(const metrics &state);
 
 } // namespace sesamespar
