--- a/packages/process/archive.h
+++ b/packages/process/archive.h
@@ -11,6 +11,7 @@
 #include <list>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -66,8 +67,7 @@
 struct archive_segment {
     std::string key;
     std::string value;
-    utc_time expires;
-    std::size_t records = 0;
+    utc_time expires; ///< Of the record that lasts longest.
     bool compare = false; ///< The key was found in use; its value must be compared.
 };
 
@@ -91,6 +91,7 @@
     std::string listedTo; ///< Last key of the last page.
     bool listed = false; ///< The last page was seen.
     std::deque<std::string> toRead; ///< Keys of the page that are not yet read.
+    std::set<std::string> ownKeys; ///< Written by this leadership before reading finished; they are not read.
     std::vector<job_record> untaken;
     std::size_t untakenBytes = 0;
     epoch_number highestEpoch; ///< Highest epoch among the keys found.
@@ -108,7 +109,7 @@
     std::uint64_t segmentsWritten = 0;
     std::uint64_t segmentsRead = 0;
     std::uint64_t segmentsMalformed = 0;
-    std::uint64_t recordsDropped = 0; ///< Records that found the buffer full.
+    std::uint64_t recordsDropped = 0; ///< Records that found the buffer full or are larger than a value may be.
 };
 
 /// Makes the archive of a daemon that does not lead.
@@ -121,7 +122,7 @@
 void stopArchive(archive &state);
 
 /// Appends a record, or replaces an older revision of the same job that still waits. Returns false, counts
-/// and warns if the buffer is full.
+/// and warns if the buffer is full, or the record is larger than a value of the store.
 bool archiveRecord(archive &state, const job_record &record);
 
 /// How far reading back is.
@@ -137,7 +138,8 @@
 /// Handles the end of a call of Archive; late ones are ignored.
 void onStoreReply(archive &state, const store_call_ended &ended, const clock_reading &now, outbox &out);
 
-/// Time at which onTick() has something to do; time_point::max() while this daemon does not lead.
+/// Time at which onTick() has something to do; time_point::max() while this daemon does not lead. Changes with
+/// archiveRecord() and takeArchived().
 time_point nextWake(const archive &state);
 
 /// Starts the call that is due and gives up one that was lost.
