--- a/test/error/command_line.cpp
+++ b/test/error/command_line.cpp
@@ -49,7 +49,7 @@
 /// A file of this test in the build folder.
 std::string writeFile(const std::string &name, const std::string &text)
 {
-    const std::string path = WORK_FOLDER "/command_line_" + name;
+    std::string path = WORK_FOLDER "/command_line_" + name;
     std::ofstream stream(path, std::ios::binary);
     stream << text;
     return path;
@@ -127,7 +127,9 @@
     const std::string findings = file
         + ":1:7: cell: \"C\" is not a name, expected a-z, 0-9 and -, not first -, at most 128 characters\n" + file
         + ":3:12: retention: \"1\" has no unit, expected a duration such as 500ms, 90s, 10m or 24h, from 1m to 24h\n";
-    for (const std::string &arguments : std::vector<std::string>{"check " + file, "apply " + file + someDaemon}) {
+    const std::string check = "check " + file;
+    const std::string apply = "apply " + file + someDaemon;
+    for (const std::string &arguments : std::vector<std::string>{check, apply}) {
         const run_result run = runForErrors(arguments);
         CHECK(run.status == 2);
         CHECK(run.output == findings);
@@ -179,17 +181,18 @@
 TEST_CASE("no reachable daemon means that nothing was changed")
 {
     // Nothing listens on port 1 of the loopback address.
-    const std::string secret = "--limit 300ms --secret-file " + writeFile("secret", "a-secret-of-callers\n");
+    const std::string options =
+        someDaemon + "--limit 300ms --secret-file " + writeFile("secret", "a-secret-of-callers\n");
     const std::string cell = writeFile("valid.yaml", "cell: c\ndata_centres: [d]\n");
     const std::string job = writeFile("valid-job.yaml", "{\"team\": \"t\", \"work\": \"w\", \"tasks\": 2}");
     for (const std::string &call :
          std::vector<std::string>{"apply " + cell, "submit " + job, "status t/k", "cancel t/k", "show"}) {
-        const run_result run = runForErrors(call + someDaemon + secret);
+        const run_result run = runForErrors(call + options);
         INFO(call);
         CHECK(run.status == 1);
         CHECK(run.output.find("no daemon could be reached") != std::string::npos);
         CHECK(run.output.find("a-secret") == std::string::npos);
     }
-    const run_result submitted = runForErrors("submit " + job + someDaemon + secret);
+    const run_result submitted = runForErrors("submit " + job + options);
     CHECK(submitted.output.substr(0, 13) == "submitting t/");
 }
--- a/test/error/daemon_settings.cpp
+++ b/test/error/daemon_settings.cpp
@@ -33,6 +33,23 @@
     return found(head + secrets + text);
 }
 
+std::string quoted(const std::string &text)
+{
+    return '"' + text + '"';
+}
+
+std::string storeProblem(const std::string &store)
+{
+    return "5:8: store: " + quoted(store) + " is not an address, expected IP:PORT with a port from 1 to 65535";
+}
+
+/// Findings of settings with that address of the store in line 5, column 8.
+report foundForStore(const std::string &store)
+{
+    return found("name: a1\ndata_centre: milano\nhttp: 127.0.0.1:0\npeer: 127.0.0.1:7000\nstore: " + quoted(store)
+                 + '\n' + secrets);
+}
+
 } // namespace
 
 TEST_CASE("settings are read as written")
@@ -97,7 +114,6 @@
 
 TEST_CASE("addresses that are no IP address with a port are reported")
 {
-    const std::string allowed = " is not an address, expected IP:PORT with a port from 1 to 65535";
     for (const std::string wrong : {"store.example:80",
                                     "127.0.0.1",
                                     "127.0.0.1:",
@@ -108,9 +124,7 @@
                                     "::1:80",
                                     ":80",
                                     "127.0.0.1:80/x"}) {
-        CHECK(found("name: a1\ndata_centre: milano\nhttp: 127.0.0.1:0\npeer: 127.0.0.1:7000\nstore: \"" + wrong + "\"\n"
-                    + secrets)
-              == report{"5:8: store: \"" + wrong + "\"" + allowed});
+        CHECK(foundForStore(wrong) == report{storeProblem(wrong)});
     }
 }
 
--- a/test/fuzz/yaml.cpp
+++ b/test/fuzz/yaml.cpp
@@ -3,11 +3,15 @@
 #include "version/configuration_parser.h"
 #include "version/daemon_settings.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <random>
+#include <string>
+#include <vector>
 
 using namespace sesamespar;
+using namespace std::string_literals;
 
 namespace {
 
@@ -59,7 +63,7 @@
 /// Changes one to four places: another byte, a byte less, a byte more, or a piece copied elsewhere.
 std::string mutated(std::string text, std::mt19937_64 &random)
 {
-    static const std::string alphabet("\0\x01\t\n\r !\"#%&'*+,-.:<>?@[]{}|`~0aZ\x7F\x80\xC3\xEF\xFF", 38);
+    static const std::string alphabet = "\0\x01\t\n\r !\"#%&'*+,-.:<>?@[]{}|`~0aZ\x7F\x80\xC3\xEF\xFF"s;
     const auto below = [&](std::size_t bound) {
         return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random);
     };
@@ -82,6 +86,14 @@
     return text;
 }
 
+/// A list that holds the one of the level below twice.
+std::string doublingAlias(int level)
+{
+    const std::string name = "a" + std::to_string(level);
+    const std::string below = "*a" + std::to_string(level - 1);
+    return name + ": &" + name + " [" + below + ", " + below + "]\n";
+}
+
 } // namespace
 
 TEST_CASE("mutated texts end in settings or findings")
@@ -171,8 +183,7 @@
 {
     std::string text = "a0: &a0 [x, x]\n";
     for (int level = 1; level < 60; ++level) {
-        const std::string below = "*a" + std::to_string(level - 1);
-        text += "a" + std::to_string(level) + ": &a" + std::to_string(level) + " [" + below + ", " + below + "]\n";
+        text += doublingAlias(level);
     }
     parseBoth(text);
     parseBoth("cell: c\nteams: &t\n- *t\n");
