--- a/test/error/command_line.cpp
+++ b/test/error/command_line.cpp
@@ -1,36 +1,16 @@
 // The built command ends with the documented exit status and names what is wrong. Guards against scripts that
 // take a refused or invalid request for a done one, and against secrets on the command line.
-#include <sys/wait.h>
+
+#include "run_command.h"
 
 #include <catch2/catch.hpp>
-#include <cstdio>
-#include <cstdlib>
 #include <fstream>
 #include <string>
 #include <vector>
 
-namespace {
-
-/// What a run of the command left behind.
-struct run_result {
-    int status = -1;
-    std::string output; ///< stdout, or stderr if asked for.
-};
+using namespace sesamespar;
 
-run_result runShell(const std::string &command)
-{
-    run_result run;
-    FILE *pipe = popen(command.c_str(), "r");
-    REQUIRE(pipe != nullptr);
-    char buffer[4096];
-    std::size_t count = 0;
-    while ((count = fread(buffer, 1, sizeof(buffer), pipe)) > 0) {
-        run.output.append(buffer, count);
-    }
-    const int status = pclose(pipe);
-    run.status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-    return run;
-}
+namespace {
 
 /// Runs the command without settings in the environment and keeps its stderr.
 run_result runForErrors(const std::string &arguments)
