Wake blocked lanes one at a time and guarantee memory and slots too

Cause: each release made all blocked lanes ready, and each of them searched and looked for victims in vain; guarantees counted processors only, so a flood of small tasks took all slots. Gangs could not preempt. Ruled out: the search in the index, which costs 6 us at 780 workers. Change: a release wakes the lane that goes first; victims are looked for again after 200 ms only; guarantees cover processors, memory and slots; a gang preempts for all its missing tasks or none. A first try woke a gang again and again within one pass and did not end; a lane is now woken once per release. Open: during a flood of batch, queries wait up to 93 s.

--- a/packages/process/fleet_index.h
+++ b/packages/process/fleet_index.h
@@ -68,6 +68,7 @@
     bool placeable = false; ///< Placeable by its offer and not set aside.
     resources promised; ///< Needs that decided preemptions make room for.
     std::uint32_t promisedTasks = 0;
+    bool freed = false; ///< Listed among the workers with room for blocked lanes.
     bool held = false; ///< Kept for a job that waited too long.
     fleet_index *index = nullptr; ///< Index that it is in; null if it gets no tasks.
     std::size_t plane = 0;
--- a/packages/process/job_queue.cpp
+++ b/packages/process/job_queue.cpp
@@ -4,6 +4,8 @@
 #include "process/team_usage.h"
 #include "process/usage_learning.h"
 
+#include <algorithm>
+
 namespace sesamespar {
 
 namespace {
@@ -20,6 +22,36 @@
             offer.kind == work_kind::Gang ? offer.tasks : 0};
 }
 
+// Priority, the highest first, then the order in which queues and lanes are served.
+using wake_rank = std::tuple<int, std::int64_t, std::uint64_t, std::int64_t, std::int64_t>;
+
+wake_rank wakeRankOf(const scheduler &state, const job_lane &lane)
+{
+    const kind_policy &policy = policyOf(*state.settings, lane.queue->kind);
+    const bool shortest = policy.order == queue_order::ShortestFirst;
+    return {-policy.priority,
+            weightedShare(state, *lane.queue),
+            lane.queue->served,
+            shortest ? lane.runTime.count() : 0,
+            lane.jobs.front().arrival};
+}
+
+bool isHelped(const scheduler &state, const job_lane &lane)
+{
+    if (lane.wokenAt == state.releases) {
+        return false; // It was tried in vain, for example a gang for which one worker's room is not enough.
+    }
+    const bool gang = lane.queue->kind == work_kind::Gang;
+    const std::size_t tasks = gang ? lane.jobs.front().waiting.size() : 1;
+    if (checkLimits(state, *lane.queue, lane.need, static_cast<std::int64_t>(tasks)) != block_reason::None) {
+        return false;
+    }
+    return lane.blocked != block_reason::NoFit
+        || std::any_of(state.freed.begin(), state.freed.end(), [&](const worker_state *worker) {
+               return worker->index == &state.index && hasRoom(*worker, lane.need);
+           });
+}
+
 } // namespace
 
 team_queue &queueOf(scheduler &state, const team_id &team, work_kind kind)
@@ -60,12 +92,11 @@
 {
     // Unsigned counters wrap around to the right value when a negative count is added.
     const auto change = static_cast<std::size_t>(tasks);
-    const std::int64_t processors = job.offer.need.processors.value * tasks;
     kind_state &kind = state.kinds.at(kindIndex(job.offer.kind));
     kind.waiting += change;
     job.lane->waiting += change;
     job.lane->queue->waiting += change;
-    job.lane->queue->waitingProcessors += processors;
+    job.lane->queue->waitingNeed = job.lane->queue->waitingNeed + job.offer.need * tasks;
 }
 
 void pullJob(scheduler &state, job_state &job)
@@ -125,18 +156,43 @@
     }
 }
 
-void unblockAfterRelease(scheduler &state, const team_queue &queue, const worker_state &worker)
+void noteFreed(scheduler &state, worker_state &worker)
 {
-    for (auto next = state.blocked.begin(); next != state.blocked.end();) {
-        job_lane &lane = *next++;
-        const bool helped = (lane.blocked == block_reason::NoFit && hasRoom(worker, lane.need))
-            || (lane.blocked == block_reason::Quota && lane.queue->owner == queue.owner)
-            || (lane.blocked == block_reason::Cap && lane.queue->kind == queue.kind)
-            || lane.blocked == block_reason::Guarantee;
-        if (helped) {
-            unblockLane(state, lane);
+    state.released = true;
+    ++state.releases;
+    if (!worker.freed) {
+        worker.freed = true;
+        state.freed.push_back(&worker);
+    }
+}
+
+void wakeBlockedLane(scheduler &state)
+{
+    if (!state.released) {
+        return;
+    }
+    job_lane *best = nullptr;
+    wake_rank bestRank;
+    for (job_lane &lane : state.blocked) {
+        if (!isHelped(state, lane)) {
+            continue;
+        }
+        const wake_rank rank = wakeRankOf(state, lane);
+        if (best == nullptr || rank < bestRank) {
+            best = &lane;
+            bestRank = rank;
         }
     }
+    if (best != nullptr) {
+        best->wokenAt = state.releases;
+        unblockLane(state, *best);
+        return;
+    }
+    state.released = false;
+    for (worker_state *worker : state.freed) {
+        worker->freed = false;
+    }
+    state.freed.clear();
 }
 
 void unblockAll(scheduler &state)
--- a/packages/process/job_queue.h
+++ b/packages/process/job_queue.h
@@ -59,6 +59,8 @@
     time_point progressAt; ///< When a task of it was placed last.
     std::size_t waiting = 0; ///< Tasks.
     std::uint32_t preempting = 0; ///< Tasks that preemptions make room for.
+    std::uint64_t wokenAt = 0; ///< Count of releases when it was made ready by one last.
+    time_point nextPreemption; ///< When victims are looked for again after none were found.
     std::pair<std::int64_t, std::int64_t> rank; ///< Run time if the shortest goes first, then arrival of the head.
     set_hook inQueue; ///< Linked while it has jobs and is not blocked.
     auto_list_hook inBlocked;
@@ -88,7 +90,7 @@
     std::uint32_t weight = 1;
     resources used; ///< Held by placed tasks.
     std::size_t waiting = 0; ///< Tasks.
-    std::int64_t waitingProcessors = 0; ///< Declared millicores of waiting tasks.
+    resources waitingNeed; ///< Declared need of all waiting tasks.
     std::map<lane_key, job_lane> lanes;
     boost::intrusive::multiset<job_lane,
                                boost::intrusive::member_hook<job_lane, set_hook, &job_lane::inQueue>,
@@ -143,8 +145,12 @@
 /// Makes a lane ready again.
 void unblockLane(scheduler &state, job_lane &lane);
 
-/// Makes the lanes ready again that capacity freed by a team and kind on a worker may help.
-void unblockAfterRelease(scheduler &state, const team_queue &queue, const worker_state &worker);
+/// Notes that a worker has room that blocked lanes may use.
+void noteFreed(scheduler &state, worker_state &worker);
+
+/// Makes the blocked lane ready again that is to be served first among those that freed capacity helps. Waking one
+/// lane at a time keeps the others from being tried in vain for the place that it takes.
+void wakeBlockedLane(scheduler &state);
 
 /// Makes all lanes ready again, after a change that may help any of them.
 void unblockAll(scheduler &state);
--- a/packages/process/preemption.cpp
+++ b/packages/process/preemption.cpp
@@ -12,6 +12,7 @@
 // Bounds the cost of one pass.
 constexpr std::size_t maxExamined = 64;
 constexpr std::size_t maxPreemptionsPerPass = 64;
+constexpr milliseconds retryAfterNone{200};
 
 struct victim_set {
     std::vector<task_state *> tasks;
@@ -34,9 +35,16 @@
         && task.job->offer.preemptions + task.job->preempting < policy.preemptionLimit;
 }
 
+// What is asked of the victims on one worker.
+struct room_wanted {
+    resources need;
+    int priority = 0;
+    bool fromVictims = false; ///< Free capacity does not count, because it is guaranteed to other kinds.
+};
+
 // True if the need fits once the victims and the tasks that are already being preempted are gone, and the work that
 // those make room for has come.
-bool roomWithout(const worker_state &worker, const resources &need, const std::vector<task_state *> &victims)
+bool roomWithout(const worker_state &worker, const room_wanted &wanted, const std::vector<task_state *> &victims)
 {
     resources left = worker.reserved + worker.promised;
     std::size_t tasks = worker.tasks + worker.promisedTasks - victims.size();
@@ -46,18 +54,22 @@
             --tasks;
         }
     }
+    if (wanted.fromVictims) {
+        left = worker.usable;
+        tasks = worker.slots - std::min<std::size_t>(worker.slots, victims.size());
+    }
     for (const task_state *victim : victims) {
         left = left - victim->reserved;
     }
-    return tasks < worker.slots && fits(left + need, worker.usable);
+    return tasks < worker.slots && fits(left + wanted.need, worker.usable);
 }
 
 // Victims on one worker, the least urgent and least often preempted first, without any that is not needed.
-victim_set victimsOn(const scheduler &state, worker_state &worker, const resources &need, int priority)
+victim_set victimsOn(const scheduler &state, worker_state &worker, const room_wanted &wanted)
 {
     std::vector<task_state *> candidates;
     for (task_state &task : worker.running) {
-        if (isVictim(state, task, priority)) {
+        if (isVictim(state, task, wanted.priority)) {
             candidates.push_back(&task);
         }
     }
@@ -71,18 +83,18 @@
     });
     victim_set chosen;
     for (task_state *candidate : candidates) {
-        if (roomWithout(worker, need, chosen.tasks)) {
+        if (roomWithout(worker, wanted, chosen.tasks)) {
             break;
         }
         chosen.tasks.push_back(candidate);
     }
-    if (!roomWithout(worker, need, chosen.tasks)) {
+    if (!roomWithout(worker, wanted, chosen.tasks)) {
         return {};
     }
     for (std::size_t index = chosen.tasks.size(); index-- > 0;) {
         task_state *candidate = chosen.tasks.at(index);
         chosen.tasks.erase(chosen.tasks.begin() + static_cast<std::ptrdiff_t>(index));
-        if (!roomWithout(worker, need, chosen.tasks)) {
+        if (!roomWithout(worker, wanted, chosen.tasks)) {
             chosen.tasks.push_back(candidate);
         }
     }
@@ -92,20 +104,20 @@
     return chosen;
 }
 
-victim_set chooseVictims(scheduler &state, const resources &need, int priority)
+victim_set chooseVictims(scheduler &state, const room_wanted &wanted)
 {
     victim_set best;
     std::size_t examined = 0;
-    for (int level = 0; level < priority; ++level) {
+    for (int level = 0; level < wanted.priority; ++level) {
         for (auto &tasks : state.victims.at(static_cast<std::size_t>(level))) {
             for (task_state &task : tasks) {
                 if (++examined > maxExamined) {
                     return best;
                 }
-                if (!task.worker->placeable || !isVictim(state, task, priority)) {
+                if (!task.worker->placeable || !isVictim(state, task, wanted.priority)) {
                     continue;
                 }
-                victim_set found = victimsOn(state, *task.worker, need, priority);
+                victim_set found = victimsOn(state, *task.worker, wanted);
                 const bool better = best.tasks.empty()
                     || std::make_pair(found.tasks.size(), found.preemptions)
                         < std::make_pair(best.tasks.size(), best.preemptions);
@@ -118,6 +130,42 @@
     return best;
 }
 
+// Marks the victims of one task that waits in the lane.
+void promise(scheduler &state, job_lane &lane, const victim_set &victims, schedule_result &result)
+{
+    ++lane.preempting;
+    task_state &first = *victims.tasks.front();
+    first.preemptedFor = &lane;
+    first.promised = lane.need;
+    first.worker->promised = first.worker->promised + lane.need;
+    ++first.worker->promisedTasks;
+    for (task_state *victim : victims.tasks) {
+        victim->preempting = true;
+        ++victim->job->preempting;
+        state.kinds.at(kindIndex(victim->job->offer.kind)).preemptingProcessors += victim->reserved.processors.value;
+        result.preemptions.push_back({{victim->job->offer.id, victim->index}, victim->worker->offer.name});
+    }
+}
+
+// Takes back what promise() did.
+void withdraw(scheduler &state, const victim_set &victims, schedule_result &result)
+{
+    for (task_state *victim : victims.tasks) {
+        notePreempted(state, *victim);
+        victim->preempting = false;
+        victim->preemptedFor = nullptr;
+        result.preemptions.pop_back();
+    }
+}
+
+bool limitsLeaveRoom(const scheduler &state, const job_lane &lane)
+{
+    const std::int64_t tasks = lane.preempting + 1;
+    const std::int64_t held = state.kinds.at(kindIndex(lane.queue->kind)).used.processors.value;
+    return quotaCanHold(*lane.queue, lane.need, tasks)
+        && capCanHold(state, lane.queue->kind, held + lane.need.processors.value * tasks);
+}
+
 } // namespace
 
 void listVictim(scheduler &state, task_state &task)
@@ -134,33 +182,26 @@
     task.victimLevel = level;
 }
 
-void preemptFor(scheduler &state, job_lane &lane, schedule_result &result)
+void preemptFor(scheduler &state, job_lane &lane, const preemption_request &request, schedule_result &result)
 {
-    const int priority = policyOf(*state.settings, lane.queue->kind).priority;
-    while (lane.preempting < lane.waiting && result.preemptions.size() < maxPreemptionsPerPass) {
-        const std::int64_t tasks = lane.preempting + 1;
-        const std::int64_t held = state.kinds.at(kindIndex(lane.queue->kind)).used.processors.value;
-        if (!quotaCanHold(*lane.queue, lane.need, tasks)
-            || !capCanHold(state, lane.queue->kind, held + lane.need.processors.value * tasks)) {
-            return;
-        }
-        const victim_set victims = chooseVictims(state, lane.need, priority);
+    if (request.now < lane.nextPreemption) {
+        return;
+    }
+    const room_wanted wanted{lane.need, policyOf(*state.settings, lane.queue->kind).priority, request.fromVictims};
+    std::vector<victim_set> chosen;
+    while (lane.preempting < request.tasks && result.preemptions.size() < maxPreemptionsPerPass
+           && limitsLeaveRoom(state, lane)) {
+        victim_set victims = chooseVictims(state, wanted);
         if (victims.tasks.empty()) {
-            return;
-        }
-        ++lane.preempting;
-        task_state &first = *victims.tasks.front();
-        first.preemptedFor = &lane;
-        first.promised = lane.need;
-        first.worker->promised = first.worker->promised + lane.need;
-        ++first.worker->promisedTasks;
-        for (task_state *victim : victims.tasks) {
-            victim->preempting = true;
-            ++victim->job->preempting;
-            state.kinds.at(kindIndex(victim->job->offer.kind)).preemptingProcessors +=
-                victim->reserved.processors.value;
-            result.preemptions.push_back({{victim->job->offer.id, victim->index}, victim->worker->offer.name});
+            lane.nextPreemption = request.now + retryAfterNone;
+            break;
         }
+        promise(state, lane, victims, result);
+        chosen.push_back(std::move(victims));
+    }
+    while (request.allOrNone && lane.preempting < request.tasks && !chosen.empty()) {
+        withdraw(state, chosen.back(), result);
+        chosen.pop_back();
     }
 }
 
--- a/packages/process/scheduler.cpp
+++ b/packages/process/scheduler.cpp
@@ -34,6 +34,8 @@
     state.capacity = state.capacity + worker.usable * sign;
     state.reserved = state.reserved + worker.reserved * sign;
     state.placeableWorkers += static_cast<std::size_t>(sign);
+    state.slots += worker.slots * static_cast<std::size_t>(sign);
+    state.slotsTaken += worker.tasks * static_cast<std::size_t>(sign);
 }
 
 void forgetShape(scheduler &state, const worker_state &worker)
@@ -86,7 +88,10 @@
     const std::uint32_t change = added ? 1 : std::uint32_t(0) - 1;
     worker.tasks += change;
     worker.serviceTasks += job.offer.kind == work_kind::Service ? change : 0;
-    state.placedTasks += added ? 1 : std::size_t(0) - 1;
+    const std::size_t one = added ? 1 : std::size_t(0) - 1;
+    state.placedTasks += one;
+    state.slotsTaken += worker.placeable ? one : 0;
+    state.kinds.at(kindIndex(job.offer.kind)).tasks += one;
     std::uint32_t &onRack = job.racks[worker.rack];
     onRack += change;
     if (onRack == 0) {
@@ -165,8 +170,13 @@
     job_lane &lane = *job.lane;
     const std::size_t tasks = job.offer.kind == work_kind::Gang ? job.waiting.size() : 1;
     const bool starved = state.hold.job == &job && isHoldStrict(state, now);
+    const bool gang = job.offer.kind == work_kind::Gang;
     const block_reason limited = checkLimits(state, *lane.queue, lane.need, static_cast<std::int64_t>(tasks));
-    if (limited != block_reason::None && !(limited == block_reason::Guarantee && starved)) {
+    if (limited == block_reason::Quota || limited == block_reason::Cap) {
+        return limited;
+    }
+    if (limited == block_reason::Guarantee && !starved) {
+        preemptFor(state, lane, {gang ? tasks : lane.waiting, gang, true, now}, result);
         return limited;
     }
     const worker_search search{&job, lane.need, failedWorkers(state, job.offer.work), heldFor(state, job, now)};
@@ -174,6 +184,8 @@
     for (std::size_t count = 0; count < tasks; ++count) {
         worker_state *worker = chooseWorker(state, search);
         if (worker == nullptr) {
+            // With its other tasks in place, room is made for just those that are missing.
+            preemptFor(state, lane, {gang ? tasks - count : lane.waiting, gang, false, now}, result);
             undo(state, job, before, result);
             return block_reason::NoFit;
         }
@@ -222,13 +234,19 @@
     if (reason == block_reason::None) {
         return true;
     }
-    if (reason == block_reason::NoFit && !gang) {
-        preemptFor(state, lane, result);
-    }
     blockLane(state, lane, reason, now);
     return true;
 }
 
+// Highest class with a ready lane, after one blocked lane was given the chance to use freed capacity; or null.
+priority_class *nextClass(scheduler &state)
+{
+    wakeBlockedLane(state);
+    const auto found = std::find_if(
+        state.classes.rbegin(), state.classes.rend(), [](const priority_class &queues) { return !queues.empty(); });
+    return found == state.classes.rend() ? nullptr : &*found;
+}
+
 void retryBlocked(scheduler &state, time_point now)
 {
     while (!state.blocked.empty() && state.blocked.front().retryAt <= now) {
@@ -311,12 +329,15 @@
     if (worker.held && !placeable) {
         endHold(state);
     }
-    if (placeable != worker.placeable) {
-        worker.placeable = placeable;
-        countPlaceable(state, worker, placeable ? 1 : -1);
+    if (worker.placeable) {
+        countPlaceable(state, worker, -1);
     }
     // A worker on probation gets one task at a time until one succeeds.
     worker.slots = worker.health.probation ? 1 : state.settings->limits.slotsPerWorker;
+    worker.placeable = placeable;
+    if (worker.placeable) {
+        countPlaceable(state, worker, 1);
+    }
     reindexWorker(state, worker);
     unblockAll(state);
 }
@@ -369,6 +390,7 @@
     refreshWorker(state, worker);
     forgetShape(state, worker);
     leaveRack(worker);
+    std::erase(state.freed, &worker);
     state.workers.erase(found);
 }
 
@@ -422,11 +444,9 @@
     if (limit > 0) {
         serveHold(state, now, result);
     }
-    for (auto queues = state.classes.rbegin(); queues != state.classes.rend(); ++queues) {
-        while (!queues->empty()) {
-            if (result.placements.size() >= limit || !serveNext(state, *queues, now, limit, result)) {
-                return result;
-            }
+    while (priority_class *queues = nextClass(state)) {
+        if (result.placements.size() >= limit || !serveNext(state, *queues, now, limit, result)) {
+            return result;
         }
     }
     startHold(state, now);
@@ -503,10 +523,9 @@
     if (placed == job.placed.end()) {
         return;
     }
-    const worker_state &worker = *placed->second->worker;
-    const team_queue &queue = queueOf(state, job.offer.id.team, job.offer.kind);
+    worker_state &worker = *placed->second->worker;
     unreserveTask(state, *placed->second);
-    unblockAfterRelease(state, queue, worker);
+    noteFreed(state, worker);
     dropIfIdle(state, job);
 }
 
--- a/packages/process/scheduler_state.h
+++ b/packages/process/scheduler_state.h
@@ -19,11 +19,15 @@
     bool blamed = false; ///< Its failures say nothing about workers.
 };
 
+/// Processors, memory and slots: the dimensions in which kinds are guaranteed their share.
+using guarded_amount = std::array<std::int64_t, 3>;
+
 /// Use and demand of one kind.
 struct kind_state {
     resources used;
+    std::size_t tasks = 0; ///< Placed.
     std::size_t waiting = 0; ///< Tasks.
-    std::int64_t demand = 0; ///< Highest recent use and wait in millicores; declines over a minute.
+    guarded_amount demand{}; ///< Highest recent use and wait; declines over a minute.
     std::int64_t preemptingProcessors = 0; ///< Part of `used` that decided preemptions will free.
     double startsPerSecond = 0; ///< Recent rate.
     std::uint64_t started = 0; ///< Since the rate was computed last.
@@ -52,6 +56,8 @@
     fleet_index heldIndex; ///< Placeable workers of the hold.
     resources capacity; ///< Usable capacity of placeable workers.
     resources reserved; ///< On placeable workers.
+    std::size_t slots = 0; ///< Of placeable workers.
+    std::size_t slotsTaken = 0; ///< Tasks on placeable workers.
     resources reservedEverywhere;
     std::size_t placeableWorkers = 0;
     std::size_t setAsideWorkers = 0;
@@ -60,6 +66,9 @@
     std::map<std::pair<work_kind, team_id>, team_queue> queues;
     std::array<priority_class, 10> classes;
     blocked_lanes blocked;
+    std::uint64_t releases = 0; ///< Counts what may help blocked lanes.
+    bool released = false; ///< Capacity became free that blocked lanes were not tried for.
+    std::vector<worker_state *> freed; ///< Where.
     std::map<team_id, team_state> teams;
     std::array<kind_state, allWorkKinds.size()> kinds;
     std::map<work_id, work_state> work;
--- a/packages/process/team_usage.cpp
+++ b/packages/process/team_usage.cpp
@@ -25,20 +25,64 @@
     return state.capacity.processors.value * percent / 100;
 }
 
-// Millicores of waiting tasks that the quotas of their teams leave room for.
-std::int64_t servableWait(const scheduler &state, work_kind kind)
+guarded_amount guarded(const resources &amount, std::size_t tasks)
 {
-    std::int64_t sum = 0;
-    for (auto entry = state.queues.lower_bound({kind, team_id()});
-         entry != state.queues.end() && entry->first.first == kind;
+    return {amount.processors.value, amount.memory.value, static_cast<std::int64_t>(tasks)};
+}
+
+guarded_amount totalOf(const scheduler &state)
+{
+    return guarded(state.capacity, state.slots);
+}
+
+// What the waiting tasks of a queue need, as far as the quota of its team leaves room.
+guarded_amount servableWait(const team_queue &queue)
+{
+    guarded_amount wait = guarded(queue.waitingNeed, queue.waiting);
+    const std::int64_t processors = queue.waitingNeed.processors.value;
+    if (!queue.owner->quota || processors <= 0) {
+        return wait;
+    }
+    const std::int64_t room = queue.owner->quota->processors.value - queue.owner->used.processors.value;
+    const double share =
+        static_cast<double>(std::clamp<std::int64_t>(room, 0, processors)) / static_cast<double>(processors);
+    for (std::int64_t &amount : wait) {
+        amount = static_cast<std::int64_t>(static_cast<double>(amount) * share);
+    }
+    return wait;
+}
+
+guarded_amount currentDemand(const scheduler &state, work_kind name)
+{
+    const kind_state &kind = state.kinds.at(kindIndex(name));
+    guarded_amount sum = guarded(kind.used, kind.tasks);
+    for (auto entry = state.queues.lower_bound({name, team_id()});
+         entry != state.queues.end() && entry->first.first == name;
          ++entry) {
-        const team_queue &queue = entry->second;
-        std::int64_t waiting = queue.waitingProcessors;
-        if (queue.owner->quota) {
-            const resources room = *queue.owner->quota - queue.owner->used;
-            waiting = std::clamp<std::int64_t>(waiting, 0, std::max<std::int64_t>(0, room.processors.value));
+        const guarded_amount wait = servableWait(entry->second);
+        for (std::size_t index = 0; index < sum.size(); ++index) {
+            sum.at(index) += wait.at(index);
+        }
+    }
+    return sum;
+}
+
+// What must stay free for the guarantees of all kinds but one.
+guarded_amount keptForOthers(const scheduler &state, work_kind kind)
+{
+    const guarded_amount total = totalOf(state);
+    guarded_amount sum{};
+    for (const work_kind other : allWorkKinds) {
+        const int percent = policyOf(*state.settings, other).guaranteedPercent;
+        if (other == kind || percent == 0) {
+            continue;
+        }
+        const kind_state &use = state.kinds.at(kindIndex(other));
+        const guarded_amount used = guarded(use.used, use.tasks);
+        for (std::size_t index = 0; index < sum.size(); ++index) {
+            const std::int64_t wanted = std::min(total.at(index) * percent / 100, use.demand.at(index));
+            sum.at(index) += std::max<std::int64_t>(0, wanted - used.at(index));
         }
-        sum += waiting;
     }
     return sum;
 }
@@ -77,10 +121,13 @@
     const double kept = std::exp(-passed / demandDecaySeconds);
     for (const work_kind name : allWorkKinds) {
         kind_state &kind = state.kinds.at(kindIndex(name));
-        const std::int64_t current = kind.used.processors.value + servableWait(state, name);
-        const auto recent = static_cast<std::int64_t>(static_cast<double>(kind.demand) * kept);
-        // A remainder of a few millicores would keep the place of a whole task idle.
-        kind.demand = std::max(current, recent * 100 < state.capacity.processors.value ? 0 : recent);
+        const guarded_amount current = currentDemand(state, name);
+        for (std::size_t index = 0; index < current.size(); ++index) {
+            std::int64_t &demand = kind.demand.at(index);
+            demand = static_cast<std::int64_t>(static_cast<double>(demand) * kept);
+            // A small remainder would keep the place of a whole task idle.
+            demand = std::max(current.at(index), demand * 100 < totalOf(state).at(index) ? 0 : demand);
+        }
         if (passed > 0) {
             const double weight = 1 - std::exp(-passed / rateSeconds);
             const double rate = static_cast<double>(kind.started) / passed;
@@ -91,20 +138,6 @@
     state.ratesAt = std::max(state.ratesAt, now);
 }
 
-std::int64_t keptForOthers(const scheduler &state, work_kind kind)
-{
-    std::int64_t sum = 0;
-    for (const work_kind other : allWorkKinds) {
-        if (other == kind) {
-            continue;
-        }
-        const kind_state &use = state.kinds.at(kindIndex(other));
-        const std::int64_t guaranteed = percentOf(state, policyOf(*state.settings, other).guaranteedPercent);
-        sum += std::max<std::int64_t>(0, std::min(guaranteed, use.demand) - use.used.processors.value);
-    }
-    return sum;
-}
-
 block_reason checkLimits(const scheduler &state, const team_queue &queue, const resources &need, std::int64_t tasks)
 {
     const resources more = need * tasks;
@@ -115,14 +148,21 @@
     if (!capCanHold(state, queue.kind, kind.used.processors.value + more.processors.value)) {
         return block_reason::Cap;
     }
-    const std::int64_t free = state.capacity.processors.value - state.reserved.processors.value;
-    if (more.processors.value > free) {
-        return block_reason::NoFit;
-    }
-    if (more.processors.value > free - keptForOthers(state, queue.kind)) {
-        return block_reason::Guarantee;
+    const guarded_amount kept = keptForOthers(state, queue.kind);
+    const guarded_amount total = totalOf(state);
+    const guarded_amount taken = guarded(state.reserved, state.slotsTaken);
+    const guarded_amount wanted = guarded(more, static_cast<std::size_t>(tasks));
+    block_reason reason = block_reason::None;
+    for (std::size_t index = 0; index < kept.size(); ++index) {
+        const std::int64_t free = total.at(index) - taken.at(index);
+        if (wanted.at(index) > free) {
+            return block_reason::NoFit;
+        }
+        if (wanted.at(index) > free - kept.at(index)) {
+            reason = block_reason::Guarantee;
+        }
     }
-    return block_reason::None;
+    return reason;
 }
 
 bool quotaCanHold(const team_queue &queue, const resources &need, std::int64_t tasks)
--- a/packages/process/team_usage.h
+++ b/packages/process/team_usage.h
@@ -20,9 +20,6 @@
 /// Brings rates of starts and recent demand up to `now`.
 void updateDemand(scheduler &state, time_point now);
 
-/// Millicores that must stay free for the guarantees of all kinds but `kind`.
-std::int64_t keptForOthers(const scheduler &state, work_kind kind);
-
 /// Why `tasks` tasks of that need may not be placed now, or None.
 block_reason checkLimits(const scheduler &state, const team_queue &queue, const resources &need, std::int64_t tasks);
 
--- a/packages/process/wait_reason.cpp
+++ b/packages/process/wait_reason.cpp
@@ -94,7 +94,7 @@
         return kind + " work holds its cap of " + std::to_string(policyOf(*state.settings, job.offer.kind).capPercent)
             + "% of the processors";
     case block_reason::Guarantee:
-        return "the remaining processors are guaranteed to other kinds of work";
+        return "the remaining capacity is guaranteed to other kinds of work";
     case block_reason::NoFit:
         if (tasks > 1) {
             return "the workers do not have room for all " + std::to_string(tasks) + " tasks of the gang at once";
--- a/test/performance/measure_decisions.cpp
+++ b/test/performance/measure_decisions.cpp
@@ -3,11 +3,10 @@
 // the design page; a figure beside its bound says whether it was met.
 #include "fake_fleet.h"
 
-#include <unistd.h>
+#include <malloc.h>
 
 #include <chrono>
 #include <cmath>
-#include <fstream>
 #include <iomanip>
 #include <iostream>
 
@@ -41,13 +40,9 @@
     return met ? "met" : "MISSED";
 }
 
-std::size_t residentBytes()
+std::size_t allocatedBytes()
 {
-    std::ifstream statm("/proc/self/statm");
-    std::size_t total = 0;
-    std::size_t resident = 0;
-    statm >> total >> resident;
-    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+    return mallinfo2().uordblks;
 }
 
 // A fleet with as many tasks for each worker as 780 workers with 7,900 tasks have, a fifth of them services.
@@ -280,9 +275,9 @@
               << " waiting      KiB  bytes/waiting task\n";
     double empty = 0;
     for (const int backlog : {0, 10000, 40000}) {
-        const std::size_t before = residentBytes();
+        const std::size_t before = allocatedBytes();
         const filled_fleet fleet = fill(780, seed, backlog);
-        const double used = static_cast<double>(residentBytes()) - static_cast<double>(before);
+        const double used = static_cast<double>(allocatedBytes()) - static_cast<double>(before);
         empty = backlog == 0 ? used : empty;
         std::cout << std::setw(8) << backlog << std::setw(9) << std::llround(used / 1024);
         if (backlog > 0) {
@@ -298,7 +293,7 @@
 {
     const std::uint32_t seed = argc > 1 ? static_cast<std::uint32_t>(std::stoul(argv[1])) : 20261204;
     std::cout << "command: measure_decisions " << seed << "\nseed: " << seed << "\n";
-    printMemory(seed); // First, because freed memory of other tables would hide what it takes.
+    printMemory(seed);
     printCost(seed, 0);
     printCost(seed, 20000);
     for (const deployment &target : {paguri(17), paguri(50), pompamassetto(17), pompamassetto(50)}) {
