Measure guarantees by the dimension in which a kind holds most

Cause: batch that had taken its memory still had processors kept for it that it could not use, so queries were refused them for up to 93 s in a flood. Change: a kind has its guarantee when it holds that share of one dimension, for placements and for preemption. Restarts after a preemption no longer count as starts in the measurement.

--- a/packages/process/preemption.cpp
+++ b/packages/process/preemption.cpp
@@ -27,12 +27,9 @@
 bool isVictim(const scheduler &state, const task_state &task, int priority)
 {
     const kind_policy &policy = policyOf(*state.settings, task.job->offer.kind);
-    const kind_state &kind = state.kinds.at(kindIndex(task.job->offer.kind));
-    const std::int64_t leftToKind =
-        kind.used.processors.value - kind.preemptingProcessors - task.reserved.processors.value;
     return task.onVictims.is_linked() && !task.preempting && !task.stopping && policy.priority < priority
-        && leftToKind >= state.capacity.processors.value * policy.guaranteedPercent / 100
-        && task.job->offer.preemptions + task.job->preempting < policy.preemptionLimit;
+        && task.job->offer.preemptions + task.job->preempting < policy.preemptionLimit
+        && keepsGuarantee(state, task.job->offer.kind, task.reserved);
 }
 
 // What is asked of the victims on one worker.
@@ -142,7 +139,9 @@
     for (task_state *victim : victims.tasks) {
         victim->preempting = true;
         ++victim->job->preempting;
-        state.kinds.at(kindIndex(victim->job->offer.kind)).preemptingProcessors += victim->reserved.processors.value;
+        kind_state &kind = state.kinds.at(kindIndex(victim->job->offer.kind));
+        kind.preempting = kind.preempting + victim->reserved;
+        ++kind.preemptingTasks;
         result.preemptions.push_back({{victim->job->offer.id, victim->index}, victim->worker->offer.name});
     }
 }
@@ -208,7 +207,9 @@
 void notePreempted(scheduler &state, task_state &task)
 {
     if (task.preempting) {
-        state.kinds.at(kindIndex(task.job->offer.kind)).preemptingProcessors -= task.reserved.processors.value;
+        kind_state &kind = state.kinds.at(kindIndex(task.job->offer.kind));
+        kind.preempting = kind.preempting - task.reserved;
+        --kind.preemptingTasks;
         --task.job->preempting;
     }
     if (task.preemptedFor != nullptr) {
--- a/packages/process/scheduler.cpp
+++ b/packages/process/scheduler.cpp
@@ -476,7 +476,8 @@
 {
     const resources more = reserved - task.reserved;
     if (task.preempting) {
-        state.kinds.at(kindIndex(task.job->offer.kind)).preemptingProcessors += more.processors.value;
+        kind_state &kind = state.kinds.at(kindIndex(task.job->offer.kind));
+        kind.preempting = kind.preempting + more;
     }
     task.reserved = reserved;
     countOnWorker(state, *task.worker, task.job->offer.kind, more);
--- a/packages/process/scheduler_state.h
+++ b/packages/process/scheduler_state.h
@@ -28,7 +28,8 @@
     std::size_t tasks = 0; ///< Placed.
     std::size_t waiting = 0; ///< Tasks.
     guarded_amount demand{}; ///< Highest recent use and wait; declines over a minute.
-    std::int64_t preemptingProcessors = 0; ///< Part of `used` that decided preemptions will free.
+    resources preempting; ///< Part of `used` that decided preemptions will free.
+    std::size_t preemptingTasks = 0;
     double startsPerSecond = 0; ///< Recent rate.
     std::uint64_t started = 0; ///< Since the rate was computed last.
 };
--- a/packages/process/team_usage.cpp
+++ b/packages/process/team_usage.cpp
@@ -67,7 +67,19 @@
     return sum;
 }
 
-// What must stay free for the guarantees of all kinds but one.
+double largestShare(const guarded_amount &part, const guarded_amount &whole)
+{
+    double share = 0;
+    for (std::size_t index = 0; index < part.size(); ++index) {
+        if (whole.at(index) > 0) {
+            share = std::max(share, static_cast<double>(part.at(index)) / static_cast<double>(whole.at(index)));
+        }
+    }
+    return share;
+}
+
+// What must stay free for the guarantees of all kinds but one. A kind has its guarantee when it holds that share of
+// one dimension; work that takes all the memory it may have cannot use the processors beside it.
 guarded_amount keptForOthers(const scheduler &state, work_kind kind)
 {
     const guarded_amount total = totalOf(state);
@@ -79,9 +91,10 @@
         }
         const kind_state &use = state.kinds.at(kindIndex(other));
         const guarded_amount used = guarded(use.used, use.tasks);
-        for (std::size_t index = 0; index < sum.size(); ++index) {
-            const std::int64_t wanted = std::min(total.at(index) * percent / 100, use.demand.at(index));
-            sum.at(index) += std::max<std::int64_t>(0, wanted - used.at(index));
+        const double open = static_cast<double>(percent) / 100 - largestShare(used, total);
+        for (std::size_t index = 0; index < sum.size() && open > 0; ++index) {
+            const auto room = static_cast<std::int64_t>(open * static_cast<double>(total.at(index)));
+            sum.at(index) += std::max<std::int64_t>(0, std::min(room, use.demand.at(index) - used.at(index)));
         }
     }
     return sum;
@@ -165,6 +178,14 @@
     return reason;
 }
 
+bool keepsGuarantee(const scheduler &state, work_kind kind, const resources &less)
+{
+    const kind_state &use = state.kinds.at(kindIndex(kind));
+    const std::size_t tasks = use.tasks - std::min(use.tasks, use.preemptingTasks + 1);
+    const double share = largestShare(guarded(use.used - use.preempting - less, tasks), totalOf(state));
+    return share * 100 >= policyOf(*state.settings, kind).guaranteedPercent;
+}
+
 bool quotaCanHold(const team_queue &queue, const resources &need, std::int64_t tasks)
 {
     return !queue.owner->quota || fits(queue.owner->used + need * tasks, *queue.owner->quota);
--- a/packages/process/team_usage.h
+++ b/packages/process/team_usage.h
@@ -23,6 +23,9 @@
 /// Why `tasks` tasks of that need may not be placed now, or None.
 block_reason checkLimits(const scheduler &state, const team_queue &queue, const resources &need, std::int64_t tasks);
 
+/// True if a kind still holds its guarantee after the decided preemptions and one more task with that reservation.
+bool keepsGuarantee(const scheduler &state, work_kind kind, const resources &less);
+
 /// True if the team's quota has room for `tasks` more tasks of that need.
 bool quotaCanHold(const team_queue &queue, const resources &need, std::int64_t tasks);
 
--- a/test/performance/fake_fleet.cpp
+++ b/test/performance/fake_fleet.cpp
@@ -176,8 +176,9 @@
     if (isMeasured(ready)) {
         run.result.waits.at(index).push_back(now - ready);
     }
-    run.result.starts.at(index) += isMeasured(now) ? 1 : 0;
     const auto left = job.remaining.find(each.task.index);
+    // Restarts after a preemption are no progress, so they do not count.
+    run.result.starts.at(index) += isMeasured(now) && left == job.remaining.end() ? 1 : 0;
     const double seconds = left == job.remaining.end() ? job.drawn.runSeconds : left->second;
     job.running[each.task.index] = {each.worker, now + seconds};
     run.ends.emplace(now + seconds, each.task);
@@ -370,10 +371,11 @@
 policy_under_test makeDefault(const deployment &target)
 {
     auto settings = makeConfiguration();
-    policy(*settings, work_kind::Query).guaranteedPercent = 20;
+    // Queries and bookings hold a third of the slots of the smaller fleet, though few of its processors.
+    policy(*settings, work_kind::Query).guaranteedPercent = 35;
     policy(*settings, work_kind::Service).guaranteedPercent = 15;
-    policy(*settings, work_kind::Gang).guaranteedPercent = 20;
-    policy(*settings, work_kind::Batch).guaranteedPercent = 40;
+    policy(*settings, work_kind::Gang).guaranteedPercent = 15;
+    policy(*settings, work_kind::Batch).guaranteedPercent = 35;
     settings->limits.slotsPerWorker = slots;
     for (const char *team : {"availability0",
                              "availability1",
