--- a/test/correctness/fairness.cpp
+++ b/test/correctness/fairness.cpp
@@ -125,7 +125,7 @@
     }
     const auto filler = makeJob("a", "2", work_kind::Batch, amount(2, 2), 60);
     for (std::uint32_t index = 0; index < 32; ++index) {
-        const std::int64_t now = 100 * (index + 1);
+        const std::int64_t now = std::int64_t(100) * (index + 1);
         releaseTask(*state, {{team_id("a"), idempotency_key("1")}, task_index(index)});
         schedule(*state, at(now), 1000);
     }
--- a/test/correctness/placement.cpp
+++ b/test/correctness/placement.cpp
@@ -134,7 +134,7 @@
     }
     bool smallPlaced = false;
     bool largePlaced = false;
-    for (int second = 1; second < 120 && !largePlaced; ++second) {
+    for (std::int64_t second = 1; second < 120 && !largePlaced; ++second) {
         submit(*state, makeJob("small", std::to_string(second), work_kind::Batch, amount(2, 2)), at(second * 1000));
         if (!running.empty()) {
             releaseTask(*state, running.front());
@@ -225,7 +225,7 @@
         enqueue(*state, job, allTasks(job), at(0));
         // 8 GiB and the margin of a tenth are 9011 MiB; three of these fit in 32 GiB.
         CHECK(schedule(*state, at(0), 100).placements.size() == 2);
-        CHECK(summarize(*state).reserved.memory == mebibytes(3 * 9011));
+        CHECK(summarize(*state).reserved.memory == mebibytes(std::int64_t(3) * 9011));
     }
     SECTION("work that uses less is placed as declared")
     {
--- a/test/correctness/preemption.cpp
+++ b/test/correctness/preemption.cpp
@@ -91,7 +91,7 @@
     auto batch = makeJob("a", "batch", work_kind::Batch, amount(16, 16));
     submit(*state, batch);
     REQUIRE(schedule(*state, at(0), 100).placements.size() == 1);
-    for (int round = 0; round < 10; ++round) {
+    for (std::int64_t round = 0; round < 10; ++round) {
         const auto query = makeJob("b", std::to_string(round), work_kind::Query, amount(16, 16));
         submit(*state, query, at(round * 1000));
         const auto result = schedule(*state, at(round * 1000), 100);
--- a/test/fuzz/scheduler_model.cpp
+++ b/test/fuzz/scheduler_model.cpp
@@ -191,8 +191,8 @@
     job_offer job = makeJob(*rc::gen::elementOf(teamNames),
                             std::to_string(*rc::gen::inRange(0, maxJobs)),
                             *rc::gen::elementOf(allWorkKinds),
-                            {millicores(*rc::gen::inRange(1, 33) * 500),
-                             mebibytes(*rc::gen::inRange(1, 33) * 1024),
+                            {millicores(*rc::gen::inRange<std::int64_t>(1, 33) * 500),
+                             mebibytes(*rc::gen::inRange<std::int64_t>(1, 33) * 1024),
                              accelerators(*rc::gen::weightedElement<int>({{6, 0}, {1, 1}, {1, 2}}))},
                             *rc::gen::inRange<std::uint32_t>(1, 7));
     bool repeatable = *rc::gen::weightedElement<bool>({{3, true}, {1, false}});
@@ -392,7 +392,8 @@
     }
 };
 
-boost::intrusive_ptr<configuration> makeSettings(int cap, int guarantee, int quota, int percent, std::uint32_t slots)
+boost::intrusive_ptr<configuration>
+makeSettings(int cap, int guarantee, std::int64_t quota, int percent, std::uint32_t slots)
 {
     auto settings = makeConfiguration();
     addTeam(*settings, "a", 1, amount(quota, quota * 2, 4));
