Keep quoted reasons within the limit of answers

Cause: an answer that quotes a leader's reason of 1024 bytes was longer than decoders of answers take, so the command line could not read it. Change: at most 512 bytes are quoted; the test sends the longest reason.

--- a/packages/process/routing.cpp
+++ b/packages/process/routing.cpp
@@ -19,6 +19,8 @@
 constexpr backoff_settings redirectSpread{milliseconds(50), milliseconds(50)};
 /// Suggested pause before the caller tries again, halved at most by the jitter.
 constexpr backoff_settings callerPause{milliseconds(2000), milliseconds(2000)};
+/// Part of a leader's reason that is quoted; decoders take reasons of at most 1024 bytes.
+constexpr std::size_t longestQuote = 512;
 /// Keys with this prefix are used for the jobs of services.
 constexpr std::string_view reservedPrefix = "service:";
 
@@ -303,11 +305,12 @@
         finish(state, correlation, answer, out);
         return;
     }
-    auto unknown = makeAnswer(request.call,
-                              answer_status::Unknown,
-                              "answered \"" + std::string(answerStatusName(answer.status))
-                                  + "\", but the request was sent more than once: " + answer.reason,
-                              answer.retryAfter);
+    auto unknown =
+        makeAnswer(request.call,
+                   answer_status::Unknown,
+                   "answered \"" + std::string(answerStatusName(answer.status))
+                       + "\", but the request was sent more than once: " + answer.reason.substr(0, longestQuote),
+                   answer.retryAfter);
     if (!isSubmit(request.call)) {
         unknown.reason = answer.reason;
     }
--- a/test/correctness/routing.cpp
+++ b/test/correctness/routing.cpp
@@ -201,8 +201,15 @@
         twice.start(submitOf(), 10);
         twice.tick(410);
         REQUIRE(twice.sent() == 2);
-        twice.answer(status, 412);
+        forward_answer message;
+        message.correlation = correlation_id(twice.state.lastCorrelation);
+        message.answer.status = status;
+        message.answer.id = submitOf().job.id;
+        message.answer.reason = std::string(1024, 'r');
+        onForwardAnswer(twice.state, daemon_id("a"), message, at(412), twice.out);
         CHECK(twice.answers() == statuses{answer_status::Unknown});
+        // Decoders of answers take no longer reason.
+        CHECK(std::get<job_answer>(twice.all<answer_front_end>().front().answer).reason.size() <= 1024);
     }
 }
 
