Try each other daemon once when one is full or about to leave

Cause: a daemon that drains answers 503 without having taken the request. The command gave up there, although the other daemons it was given could serve.

Ruled out: retrying until the limit, which would multiply an overload.

--- a/packages/connection/caller_client.cpp
+++ b/packages/connection/caller_client.cpp
@@ -188,7 +188,11 @@
             series.problem = answer.value().reason;
             pause = answer.value().retryAfter;
         } else if (const auto rejection = rejectionOf(outcome); rejection && !series.uncertain) {
-            return *rejection;
+            // A daemon that is full or about to leave has not taken the request; each other one is tried once.
+            if (rejection->kind != error_kind::Overloaded || series.attempts >= client.settings.daemons.size()) {
+                return *rejection;
+            }
+            series.problem = rejection->message;
         } else {
             series.uncertain = true;
             series.problem = errorText(outcome);
--- a/test/error/caller_retries.cpp
+++ b/test/error/caller_retries.cpp
@@ -83,6 +83,25 @@
     CHECK(server.requests().size() == 1);
 }
 
+TEST_CASE("each daemon that is full or about to leave is tried once")
+{
+    const scripted_step full{503, "{\"error\":\"too many requests are waiting\"}"};
+    const scripted_server first({full});
+    const scripted_server second({full});
+    const auto client = clientOf({address(first.address()), address(second.address())});
+    const auto refused = submitJob(*client, booking());
+    REQUIRE(refused.has_error());
+    CHECK(refused.error().kind == error_kind::Overloaded);
+    CHECK(first.requests().size() == 1);
+    CHECK(second.requests().size() == 1);
+
+    const scripted_server third({answering(202, answer_status::Accepted)});
+    const auto other = clientOf({address(first.address()), address(third.address())});
+    const auto accepted = submitJob(*other, booking());
+    REQUIRE(accepted.has_value());
+    CHECK(accepted.value().status == answer_status::Accepted);
+}
+
 TEST_CASE("a refusal after an attempt without an answer is not passed on")
 {
     const scripted_server server({silent, answering(503, answer_status::Refused)});
