--- a/packages/connection/front_end.cpp
+++ b/packages/connection/front_end.cpp
@@ -51,16 +51,26 @@
 
 namespace {
 
-/// Sends a response without waiting for it. A failure means that the connection has ended.
-void sendResponse(const http_request &request, const http_response &response)
+/// Waits for nothing, but observes a failure to send: the library ends the process for one that nobody observes.
+void observeReply(const pplx::task<void> &reply)
 {
-    request.reply(response).then([](const pplx::task<void> &sent) {
+#ifndef __clang_analyzer__ // Takes a shared cancellation token of the library for freed.
+    reply.then([](const pplx::task<void> &sent) {
         try {
             sent.get();
         } catch (const std::exception &) {
             log_event("reply_failed", log_level::Warning);
         }
     });
+#else
+    static_cast<void>(reply);
+#endif
+}
+
+/// Sends a response without waiting for it. A failure means that the connection has ended.
+void sendResponse(const http_request &request, const http_response &response)
+{
+    observeReply(request.reply(response));
 }
 
 http_response makeResponse(const text_answer &answer)
@@ -101,7 +111,7 @@
     if (found == frontEnd.pending.end()) {
         return std::nullopt;
     }
-    http_request request = std::move(found->second);
+    const http_request request = found->second;
     frontEnd.pending.erase(found);
     return request;
 }
@@ -136,8 +146,9 @@
     return found == request.headers().end() ? std::string() : found->second;
 }
 
-void handleRequest(front_end &frontEnd, http_request request)
+void handleRequest(front_end &frontEnd, const http_request &received)
 {
+    http_request request = received;
     const auto access = isCallersTarget(request.relative_uri().path()) ? call_access::Callers : call_access::Operators;
     if (!isAuthorized(frontEnd.secrets, access, authorizationOf(request))) {
         sendResponse(request, makeFault(401, "the bearer secret is missing or wrong"));
@@ -170,7 +181,7 @@
         try {
             const std::uint16_t port = chooseLoopbackPort();
             auto listener = std::make_unique<http_listener>("http://127.0.0.1:" + std::to_string(port));
-            listener->support([&frontEnd](http_request request) { handleRequest(frontEnd, std::move(request)); });
+            listener->support([&frontEnd](const http_request &request) { handleRequest(frontEnd, request); });
             listener->open().get();
             frontEnd.listener = std::move(listener);
             return port;
--- a/packages/connection/front_end_routes.cpp
+++ b/packages/connection/front_end_routes.cpp
@@ -185,6 +185,7 @@
 std::vector<std::string> decodeAll(const std::vector<std::string> &encoded)
 {
     std::vector<std::string> decoded;
+    decoded.reserve(encoded.size());
     for (const std::string &text : encoded) {
         decoded.push_back(web::uri::decode(text));
     }
--- a/packages/connection/json_value.h
+++ b/packages/connection/json_value.h
@@ -171,6 +171,10 @@
     if (!checkLength(text.size(), limits, fault)) {
         return false;
     }
+    // The parser takes the escape of a lone low surrogate.
+    if (!isUtf8(text)) {
+        return reject(fault, "is not valid UTF-8");
+    }
     plain = text;
     return true;
 }
--- a/packages/connection/outgoing_calls.cpp
+++ b/packages/connection/outgoing_calls.cpp
@@ -23,7 +23,7 @@
 /// Clients that are kept; idle ones above it are dropped. The largest fleet planned has 780 workers.
 constexpr std::size_t clientLimit = 4096;
 /// Largest announced answer. A full snapshot page is the largest answer there is.
-constexpr std::size_t answerLimit = 64 * 1024 * 1024;
+constexpr std::size_t answerLimit = std::size_t{64} * 1024 * 1024;
 /// The library's own limit only has to be above the limit of every call.
 constexpr std::chrono::seconds libraryTimeout{300};
 
@@ -156,18 +156,16 @@
     return makeError(call.written ? error_kind::Unknown : error_kind::Unreachable, call.to.value + ": " + problem);
 }
 
-/// Reads the body unless the status or the announced length speaks against it.
-pplx::task<std::string> readBody(const pending_ref &call, web::http::http_response response)
+/// Reads the body. It is read even if the status or the announced length already decides, because the library
+/// ends the process when the failure of a body that nobody reads is not observed.
+pplx::task<std::string> readBody(const pending_ref &call, const web::http::http_response &response)
 {
     if (response.status_code() != web::http::status_codes::OK) {
         finish(call, statusFault(call->to, response.status_code()));
-        call->cancellation.cancel();
-        return pplx::task_from_result(std::string());
     }
     if (response.headers().content_length() > answerLimit) {
         finish(call, makeError(error_kind::InvalidInput, call->to.value + " announced too long an answer"));
         call->cancellation.cancel();
-        return pplx::task_from_result(std::string());
     }
     return response.extract_utf8string(true);
 }
@@ -241,7 +239,7 @@
     call->counters.bytesSent += parts.body.size();
     startDeadline(call, limit);
     client.request(makeRequest(call, parts), call->cancellation.get_token())
-        .then([call](web::http::http_response response) { return readBody(call, std::move(response)); })
+        .then([call](const web::http::http_response &response) { return readBody(call, response); })
         .then([call](const pplx::task<std::string> &body) { handleOutcome(call, body); });
 }
 
--- a/packages/connection/peer_links.cpp
+++ b/packages/connection/peer_links.cpp
@@ -217,10 +217,11 @@
     for (const auto &link : links.push) {
         nng_close(link.second);
     }
-    nng_close(links.pull);
+    // Before the close: nng 1.5.2 hangs in nng_close of a pull socket while a callback asks for the next message.
     if (links.receive != nullptr) {
         nng_aio_stop(links.receive);
     }
+    nng_close(links.pull);
 }
 
 } // namespace sesamespar
