--- a/test/correctness/graceful_stop.cpp
+++ b/test/correctness/graceful_stop.cpp
@@ -60,6 +60,7 @@
         const address bound = boundAddress(*frontEnd);
         std::vector<std::string> answers(requestsOfRound);
         std::vector<std::thread> callers;
+        callers.reserve(answers.size());
         for (std::string &received : answers) {
             callers.emplace_back([&received, bound] {
                 raw_caller caller(bound);
--- a/test/performance/front_end_round_trips.cpp
+++ b/test/performance/front_end_round_trips.cpp
@@ -54,6 +54,7 @@
     const address bound = boundAddress(*frontEnd);
     std::atomic<int> own = 0;
     std::vector<std::thread> callers;
+    callers.reserve(callersInFlight);
     const auto start = std::chrono::steady_clock::now();
     for (int number = 0; number < callersInFlight; ++number) {
         callers.emplace_back([&own, bound, number] { own += runCaller(bound, number); });
