--- a/packages/connection/message_fields.h
+++ b/packages/connection/message_fields.h
@@ -265,7 +265,8 @@
 template<>
 struct field_list<control_token> {
     static constexpr auto fields = std::make_tuple(field("epoch", &control_token::epoch, any64),
-                                                   field("holder", &control_token::holder, optionalName));
+                                                   field("holder", &control_token::holder, optionalName),
+                                                   field("instance", &control_token::instance, any64));
 };
 
 template<>
--- a/packages/process/journal.cpp
+++ b/packages/process/journal.cpp
@@ -141,7 +141,7 @@
 write_records_request takeQueued(leader &state, worker &target)
 {
     write_records_request request;
-    request.token = {target.epoch, state.holder};
+    request.token = {target.epoch, state.holder, target.instance};
     const std::size_t count = std::min(target.queuedPuts.size(), maxPutsPerCall);
     for (std::size_t index = 0; index < count; ++index) {
         const job_ptr subject = findJob(state.jobs, target.queuedPuts.at(index));
--- a/packages/process/leadership.cpp
+++ b/packages/process/leadership.cpp
@@ -17,7 +17,7 @@
 control_request makeControl(const leader &state, const worker &target, time_point now)
 {
     control_request request;
-    request.token = {target.epoch, state.holder};
+    request.token = {target.epoch, state.holder, target.instance};
     request.sentAt = estimateClock(target, now);
     request.lease = state.timing.controlLease;
     request.after = target.handled;
@@ -64,7 +64,7 @@
 void sendSnapshot(leader &state, worker &target, time_point now, outbox &out)
 {
     snapshot_request request;
-    request.token = {target.epoch, state.holder};
+    request.token = {target.epoch, state.holder, target.instance};
     request.page = target.nextPage;
     sendCall(state, target, worker_call_sort::Snapshot, request, state.timing.callTimeout, now, out);
 }
@@ -84,6 +84,9 @@
     target.capacity = reply.capacity;
     target.draining = target.draining || reply.draining;
     target.suspect = false;
+    if (target.phase == worker_phase::Unknown || target.phase == worker_phase::Probed) {
+        target.instance = reply.instance;
+    }
     state.seenVersion = std::max(state.seenVersion, reply.version);
     state.seenRoster = std::max(state.seenRoster, reply.roster);
     if (reply.current.epoch >= state.epoch && reply.current.holder != state.holder) {
@@ -119,6 +122,7 @@
     if (target.phase != worker_phase::Probed && reply.instance != target.instance) {
         settleRestartedWorker(state, target, now);
         target.phase = worker_phase::Probed;
+        target.instance = reply.instance;
         target.epoch = epoch_number(0);
         target.leaseUntil = {};
     }
@@ -176,11 +180,6 @@
         beginReading(state, target, reply);
         return;
     }
-    if (reply.instance != target.instance) {
-        settleRestartedWorker(state, target, now);
-        beginReading(state, target, reply);
-        return;
-    }
     takeEvents(state, target, reply.events, now);
     handleUsage(state, target, reply.usage);
 }
--- a/packages/process/task_commands.cpp
+++ b/packages/process/task_commands.cpp
@@ -73,7 +73,7 @@
     std::swap(target.sent.drain, queued.drain);
 
     commands_request request;
-    request.token = {target.epoch, state.holder};
+    request.token = {target.epoch, state.holder, target.instance};
     request.sentAt = estimateClock(target, now);
     request.validity = state.timing.controlLease;
     request.start = target.sent.start;
