Add the fault-injecting proxy and the harness of process tests

Cause: tests with real processes need links that can be cut, and one place that starts, signals and reaps processes and compares what callers were told with what the workers ran.

Ruled out: choosing peer ports by bind and release only. Another process can take such a port before the daemon listens, so the harness keeps it bound with SO_REUSEADDR meanwhile.

Change: standin_proxy (delay, cut one way or both, reset, dropped answers) on Boost.Asio; test/harness with processes, ports, settings files, a whole cell, and the oracle for invariants 1 to 6.

A cell with daemons was not run, because sesamespard is still a stub here.

Conclusion: ready for the daemon.

--- /dev/null
+++ b/test/harness/witness_view.cpp
@@ -0,0 +1,60 @@
+#include "harness/witness_view.h"
+
+#include <cpprest/json.h>
+
+namespace sesamespar::harness {
+
+namespace {
+
+using web::json::value;
+
+job_id jobOf(const value &json)
+{
+    return {team_id(json.at("team").as_string()), idempotency_key(json.at("key").as_string())};
+}
+
+seen_start startOf(const value &json)
+{
+    seen_start start;
+    start.index = task_index(json.at("index").as_number().to_uint32());
+    start.attempt = attempt_number(json.at("attempt").as_number().to_uint32());
+    start.worker = worker_id(json.at("worker").as_string());
+    start.at = utc_time(json.at("at_ms").as_number().to_int64());
+    start.ended = utc_time(json.at("ended_ms").as_number().to_int64());
+    start.outcome = json.at("outcome").as_string();
+    return start;
+}
+
+witness_view read(const value &report)
+{
+    witness_view view;
+    for (const value &single : report.at("overfills").as_array()) {
+        view.overfills.push_back("a worker was given more than it holds: " + single.serialize());
+    }
+    for (const value &single : report.at("double_runs").as_array()) {
+        view.doubleRuns.push_back("a task ran in two places at once: " + single.serialize());
+    }
+    for (const value &job : report.at("jobs").as_array()) {
+        std::vector<seen_start> &starts = view.starts[jobOf(job)];
+        for (const value &start : job.at("starts").as_array()) {
+            starts.push_back(startOf(start));
+        }
+    }
+    for (const value &worker : report.at("workers").as_array()) {
+        view.running += worker.at("running").as_number().to_uint64();
+    }
+    return view;
+}
+
+} // namespace
+
+result<witness_view> readWitnessReport(const std::string &json)
+{
+    try {
+        return read(value::parse(json));
+    } catch (const std::exception &problem) {
+        return makeError(error_kind::InvalidInput, std::string("the witness report is malformed: ") + problem.what());
+    }
+}
+
+} // namespace sesamespar::harness
--- /dev/null
+++ b/test/standins/link_proxy.cpp
@@ -0,0 +1,270 @@
+#include "standins/link_proxy.h"
+
+#include <array>
+#include <boost/asio.hpp>
+#include <charconv>
+#include <future>
+#include <map>
+#include <set>
+#include <thread>
+#include <vector>
+
+namespace sesamespar::standins {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+struct proxied_link;
+
+/// One connection through a link. Lives as long as an operation on it is under way or its link holds it.
+struct proxied_connection : std::enable_shared_from_this<proxied_connection> {
+    explicit proxied_connection(asio::io_context &context, std::shared_ptr<proxied_link> owner)
+        : near(context)
+        , far(context)
+        , link(std::move(owner))
+    {
+    }
+
+    tcp::socket near; ///< To whoever connected.
+    tcp::socket far; ///< To the target.
+    std::shared_ptr<proxied_link> link;
+};
+
+using connection_ptr = std::shared_ptr<proxied_connection>;
+
+struct proxied_link : std::enable_shared_from_this<proxied_link> {
+    explicit proxied_link(asio::io_context &context)
+        : acceptor(context)
+    {
+    }
+
+    tcp::acceptor acceptor;
+    tcp::endpoint target;
+    link_fault fault;
+    std::set<connection_ptr> connections;
+    std::vector<std::function<void()>> held; ///< Goes on when the fault changes.
+};
+
+/// One direction of a connection with its buffer.
+struct pump : std::enable_shared_from_this<pump> {
+    pump(connection_ptr owner, bool toTarget)
+        : connection(std::move(owner))
+        , forward(toTarget)
+        , timer(connection->near.get_executor())
+    {
+    }
+
+    connection_ptr connection;
+    bool forward;
+    asio::steady_timer timer;
+    std::array<char, 65536> buffer{};
+};
+
+using pump_ptr = std::shared_ptr<pump>;
+
+void closeConnection(const connection_ptr &connection)
+{
+    boost::system::error_code ignored;
+    connection->near.close(ignored);
+    connection->far.close(ignored);
+    connection->link->connections.erase(connection);
+}
+
+bool isHeld(const pump &single)
+{
+    const link_fault &fault = single.connection->link->fault;
+    return single.forward ? fault.holdForward : fault.holdBackward;
+}
+
+void readSome(const pump_ptr &single);
+
+void writeAll(const pump_ptr &single, std::size_t count)
+{
+    if (isHeld(*single)) {
+        single->connection->link->held.emplace_back([single, count] { writeAll(single, count); });
+        return;
+    }
+    tcp::socket &to = single->forward ? single->connection->far : single->connection->near;
+    asio::async_write(
+        to, asio::buffer(single->buffer.data(), count), [single](const boost::system::error_code &code, std::size_t) {
+            if (code) {
+                closeConnection(single->connection);
+            } else {
+                readSome(single);
+            }
+        });
+}
+
+void passOn(const pump_ptr &single, std::size_t count)
+{
+    const link_fault &fault = single->connection->link->fault;
+    if (!single->forward && fault.dropAnswers) {
+        closeConnection(single->connection);
+        return;
+    }
+    if (fault.delay.count() == 0) {
+        writeAll(single, count);
+        return;
+    }
+    single->timer.expires_after(fault.delay);
+    single->timer.async_wait([single, count](const boost::system::error_code &) { writeAll(single, count); });
+}
+
+void readSome(const pump_ptr &single)
+{
+    tcp::socket &from = single->forward ? single->connection->near : single->connection->far;
+    from.async_read_some(asio::buffer(single->buffer),
+                         [single](const boost::system::error_code &code, std::size_t count) {
+                             if (code) {
+                                 closeConnection(single->connection);
+                             } else {
+                                 passOn(single, count);
+                             }
+                         });
+}
+
+void connectFar(const connection_ptr &connection)
+{
+    const std::shared_ptr<proxied_link> link = connection->link;
+    if (link->fault.reset) {
+        closeConnection(connection);
+        return;
+    }
+    if (link->fault.holdForward || link->fault.holdBackward) {
+        link->held.emplace_back([connection] { connectFar(connection); });
+        return;
+    }
+    connection->far.async_connect(link->target, [connection](const boost::system::error_code &code) {
+        if (code) {
+            closeConnection(connection);
+            return;
+        }
+        boost::system::error_code ignored;
+        connection->near.set_option(tcp::no_delay(true), ignored);
+        connection->far.set_option(tcp::no_delay(true), ignored);
+        readSome(std::make_shared<pump>(connection, true));
+        readSome(std::make_shared<pump>(connection, false));
+    });
+}
+
+void acceptNext(const std::shared_ptr<proxied_link> &link, asio::io_context &context)
+{
+    const auto connection = std::make_shared<proxied_connection>(context, link);
+    link->acceptor.async_accept(connection->near, [link, connection, &context](const boost::system::error_code &code) {
+        if (code == asio::error::operation_aborted) {
+            return;
+        }
+        if (!code) {
+            link->connections.insert(connection);
+            connectFar(connection);
+        }
+        acceptNext(link, context);
+    });
+}
+
+void applyFault(proxied_link &link, const link_fault &fault)
+{
+    link.fault = fault;
+    if (fault.reset) {
+        const std::set<connection_ptr> open = link.connections;
+        for (const connection_ptr &connection : open) {
+            closeConnection(connection);
+        }
+    }
+    std::vector<std::function<void()>> held;
+    held.swap(link.held);
+    for (const auto &resume : held) {
+        resume();
+    }
+}
+
+bool parseTarget(const address &target, tcp::endpoint &endpoint)
+{
+    const std::size_t colon = target.value.rfind(':');
+    if (colon == std::string::npos) {
+        return false;
+    }
+    boost::system::error_code code;
+    const auto host = asio::ip::make_address(target.value.substr(0, colon), code);
+    std::uint16_t port = 0;
+    const char *end = target.value.data() + target.value.size();
+    const auto parsed = std::from_chars(target.value.data() + colon + 1, end, port);
+    endpoint = tcp::endpoint(host, port);
+    return !code && parsed.ec == std::errc() && parsed.ptr == end;
+}
+
+} // namespace
+
+struct link_proxy {
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work = asio::make_work_guard(context);
+    std::map<std::string, std::shared_ptr<proxied_link>> links; ///< Used by the thread only.
+    std::thread thread;
+
+    ~link_proxy()
+    {
+        context.stop();
+        thread.join();
+    }
+};
+
+namespace {
+
+/// Runs an action on the proxy's thread and returns its value.
+template<typename Action>
+auto runOn(link_proxy &proxy, Action action)
+{
+    std::packaged_task<decltype(action())()> task(std::move(action));
+    auto done = task.get_future();
+    asio::post(proxy.context, [&task] { task(); });
+    return done.get();
+}
+
+} // namespace
+
+std::shared_ptr<link_proxy> startLinkProxy()
+{
+    auto proxy = std::make_shared<link_proxy>();
+    proxy->thread = std::thread([plain = proxy.get()] { plain->context.run(); });
+    return proxy;
+}
+
+result<address> addLink(link_proxy &proxy, const std::string &name, const address &target)
+{
+    auto link = std::make_shared<proxied_link>(proxy.context);
+    if (!parseTarget(target, link->target)) {
+        return makeError(error_kind::InvalidInput, "the target is not HOST:PORT: " + target.value);
+    }
+    return runOn(proxy, [&]() -> result<address> {
+        const tcp::endpoint any(asio::ip::address_v4::loopback(), 0);
+        boost::system::error_code code;
+        link->acceptor.open(any.protocol(), code);
+        link->acceptor.bind(any, code);
+        link->acceptor.listen(tcp::acceptor::max_listen_connections, code);
+        if (code) {
+            return makeError(error_kind::InvalidInput, "cannot listen: " + code.message());
+        }
+        proxy.links[name] = link;
+        acceptNext(link, proxy.context);
+        return address("127.0.0.1:" + std::to_string(link->acceptor.local_endpoint().port()));
+    });
+}
+
+std::size_t setLinkFault(link_proxy &proxy, const std::string &pattern, const link_fault &fault)
+{
+    return runOn(proxy, [&] {
+        std::size_t count = 0;
+        for (const auto &[name, link] : proxy.links) {
+            const bool prefix = pattern.ends_with('*');
+            if (prefix ? name.starts_with(pattern.substr(0, pattern.size() - 1)) : name == pattern) {
+                applyFault(*link, fault);
+                ++count;
+            }
+        }
+        return count;
+    });
+}
+
+} // namespace sesamespar::standins
