Add the demo

Cause: a first look at the system should need one command.

The demo itself was built but not run to its end, because sesamespard is a stub.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,7 @@
 
 measure: build
 	@$(BUILD)/bin/measure_decisions
+
+# Starts a whole cell on this machine, runs work of all kinds and loses a daemon in the middle.
+demo: build
+	@$(BUILD)/bin/demo apps
