--- /dev/null
+++ b/test/error/worker_lost.cpp
@@ -0,0 +1,88 @@
+// A worker cannot be reached, or restarts, while it runs tasks. Guards against a repeatable task that is never
+// run again or that runs twice at once, and against other work that is started a second time.
+#include "harness/cell_test.h"
+
+#include <future>
+
+using namespace sesamespar;
+using namespace sesamespar::harness;
+
+namespace {
+
+/// Jobs that run for 4 s, half of them repeatable.
+std::vector<submission> makeSubmissions()
+{
+    std::vector<submission> submissions;
+    for (std::size_t count = 0; count < 24; ++count) {
+        const std::string work = count % 2 == 0 ? "once-metsovo" : "batch-metsovo";
+        submissions.push_back({count % 3, makeRequest("team-metsovo", work, "job", "run_ms=4000")});
+    }
+    return submissions;
+}
+
+/// A worker that runs a task of repeatable work and one that must not be repeated.
+worker_id findBusyWorker(const cell &running)
+{
+    worker_id busy;
+    REQUIRE(waitUntil(generous, [&] {
+        const auto seen = witnessOf(running);
+        std::map<worker_id, int> counts;
+        if (seen) {
+            for (const auto &[id, starts] : seen.value().starts) {
+                for (const seen_start &start : starts) {
+                    counts[start.worker] += id.key.value.starts_with("job") && start.ended.value == 0 ? 1 : 0;
+                }
+            }
+        }
+        for (const auto &[worker, count] : counts) {
+            if (count >= 2) {
+                busy = worker;
+            }
+        }
+        return !busy.value.empty();
+    }));
+    return busy;
+}
+
+/// Repeatable jobs are done; the others are done or lost.
+void checkAnswers(const std::vector<submission> &submissions, const std::vector<job_answer> &answers)
+{
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        const job_answer &answer = answers.at(index);
+        INFO(answer.id << ' ' << answer.reason);
+        const bool repeatable = submissions.at(index).request.job.work.value.starts_with("batch");
+        CHECK((answer.status == answer_status::Done || (!repeatable && answer.status == answer_status::Lost)));
+    }
+}
+
+} // namespace
+
+TEST_CASE("tasks of a worker that cannot be reached end as their declaration asks")
+{
+    const auto running = startTestCell();
+    const std::vector<submission> submissions = makeSubmissions();
+    auto answers = std::async(std::launch::async, [&] { return submitAllUntilFinal(*running, submissions, generous); });
+    const worker_id lost = findBusyWorker(*running);
+    REQUIRE(control(running->workersControl, "/test/worker?mode=vanished&name=" + lost.value));
+    checkAnswers(submissions, answers.get());
+    REQUIRE(control(running->workersControl, "/test/worker?mode=normal&name=" + lost.value));
+    // The worker comes back with the outcomes of tasks that ran meanwhile.
+    for (const submission &single : submissions) {
+        CHECK(waitUntil(generous, [&] {
+            return status(*running, single.daemon, single.request.job.id, milliseconds(0)).status
+                == answer_status::Done;
+        }));
+    }
+    requireInvariants(*running);
+}
+
+TEST_CASE("tasks of a worker that restarts end as their declaration asks")
+{
+    const auto running = startTestCell();
+    const std::vector<submission> submissions = makeSubmissions();
+    auto answers = std::async(std::launch::async, [&] { return submitAllUntilFinal(*running, submissions, generous); });
+    const worker_id restarted = findBusyWorker(*running);
+    REQUIRE(control(running->workersControl, "/test/restart?name=" + restarted.value));
+    checkAnswers(submissions, answers.get());
+    requireInvariants(*running);
+}
--- a/test/harness/cell_test.h
+++ b/test/harness/cell_test.h
@@ -36,7 +36,13 @@
 /// Ends a test: no invariant was broken.
 inline void requireInvariants(cell &running)
 {
-    REQUIRE(brokenInvariants(running) == std::vector<std::string>());
+    std::string text;
+    for (const std::string &fault : brokenInvariants(running)) {
+        text += fault;
+        text += '\n';
+    }
+    INFO(text);
+    REQUIRE(text.empty());
 }
 
 /// Requires every answer to have that status.
