--- a/packages/connection/front_end.cpp
+++ b/packages/connection/front_end.cpp
@@ -14,6 +14,7 @@
 #include <cpprest/http_listener.h>
 #include <mutex>
 #include <unordered_map>
+#include <vector>
 // clang-format on
 
 namespace sesamespar {
@@ -173,6 +174,25 @@
     return probe.local_endpoint().port();
 }
 
+void handleIfOpen(const std::shared_ptr<front_end> &frontEnd, const http_request &request)
+{
+    if (frontEnd && !frontEnd->stopped) {
+        handleRequest(*frontEnd, request);
+    } else {
+        sendResponse(request, makeFault(503, "this daemon has stopped; the request was not run"));
+    }
+}
+
+/// Keeps a listener open until the process ends. The library's close() raced with connections that it was about
+/// to read again, and one run in about 30 ended in a segmentation fault. Only the guard can reach its port.
+void keepListener(std::unique_ptr<http_listener> listener)
+{
+    static std::mutex mutex;
+    static std::vector<http_listener *> kept;
+    const std::lock_guard lock(mutex);
+    kept.push_back(listener.release());
+}
+
 /// Opens the listener and returns its port.
 result<std::uint16_t> openListener(front_end &frontEnd)
 {
@@ -181,7 +201,9 @@
         try {
             const std::uint16_t port = chooseLoopbackPort();
             auto listener = std::make_unique<http_listener>("http://127.0.0.1:" + std::to_string(port));
-            listener->support([&frontEnd](const http_request &request) { handleRequest(frontEnd, request); });
+            listener->support([weak = frontEnd.weak_from_this()](const http_request &request) {
+                handleIfOpen(weak.lock(), request);
+            });
             listener->open().get();
             frontEnd.listener = std::move(listener);
             return port;
@@ -249,17 +271,10 @@
         const std::lock_guard lock(frontEnd.mutex);
         unanswered.swap(frontEnd.pending);
     }
-    // The library's close waits for every request to be answered.
     for (const auto &entry : unanswered) {
         sendResponse(entry.second, makeFault(504, "this daemon has stopped; the outcome is unknown"));
     }
-    if (frontEnd.listener) {
-        try {
-            frontEnd.listener->close().get();
-        } catch (const std::exception &problem) {
-            log_event("listener_close_failed", log_level::Warning).with("reason", problem.what());
-        }
-    }
+    keepListener(std::move(frontEnd.listener));
 }
 
 } // namespace sesamespar
--- a/packages/connection/peer_links.cpp
+++ b/packages/connection/peer_links.cpp
@@ -8,6 +8,7 @@
 #include <nng/protocol/pipeline0/push.h>
 
 #include <atomic>
+#include <mutex>
 #include <string_view>
 #include <unordered_map>
 
@@ -28,7 +29,8 @@
     nng_aio *receive = nullptr;
     address bound;
     std::unordered_map<daemon_id, nng_socket> push; ///< Fixed after the start.
-    std::atomic<bool> stopped = false;
+    std::mutex sinkMutex; ///< Held while the sink is called, so that a stop can wait for the call to end.
+    bool stopped = false; ///< Guarded by sinkMutex.
     std::atomic<std::uint64_t> bytesSent = 0;
     std::atomic<std::uint64_t> bytesReceived = 0;
     std::atomic<std::uint64_t> messagesSent = 0;
@@ -39,11 +41,6 @@
     peer_links() = default;
     peer_links(const peer_links &) = delete;
     peer_links &operator=(const peer_links &) = delete;
-    ~peer_links()
-    {
-        stopPeerLinks(*this);
-        nng_aio_free(receive);
-    }
 };
 
 namespace {
@@ -62,7 +59,10 @@
     nng_msg_free(raw);
     if (message) {
         ++links.messagesReceived;
-        links.sink(std::move(message.value()));
+        const std::lock_guard lock(links.sinkMutex);
+        if (!links.stopped) {
+            links.sink(std::move(message.value()));
+        }
         return;
     }
     const std::uint64_t malformed = ++links.messagesMalformed;
@@ -73,16 +73,24 @@
     }
 }
 
+bool isStopped(peer_links &links)
+{
+    const std::lock_guard lock(links.sinkMutex);
+    return links.stopped;
+}
+
 void handleReceive(void *context)
 {
     auto &links = *static_cast<peer_links *>(context);
     const int failure = nng_aio_result(links.receive);
     if (failure == 0) {
         handleMessage(links, nng_aio_get_msg(links.receive));
-    } else if (failure == NNG_ECLOSED || failure == NNG_ECANCELED || links.stopped) {
+    } else if (failure == NNG_ECLOSED || failure == NNG_ECANCELED) {
         return;
     }
-    nng_recv_aio(links.pull, links.receive);
+    if (!isStopped(links)) {
+        nng_recv_aio(links.pull, links.receive);
+    }
 }
 
 /// Keeps the first failure of a series of calls.
@@ -155,7 +163,8 @@
 
 result<std::shared_ptr<peer_links>> startPeerLinks(const daemon_settings &settings, peer_sink sink)
 {
-    auto links = std::make_shared<peer_links>();
+    // Never freed: the pull socket, which stays open after a stop, refers to it.
+    const std::shared_ptr<peer_links> links(new peer_links, [](peer_links *stopped) { stopPeerLinks(*stopped); });
     links->sink = std::move(sink);
     const int listening = listenOn(*links, settings.peerAddress.value);
     if (listening != 0) {
@@ -211,17 +220,18 @@
 
 void stopPeerLinks(peer_links &links)
 {
-    if (links.stopped.exchange(true)) {
-        return;
+    {
+        const std::lock_guard lock(links.sinkMutex);
+        if (links.stopped) {
+            return;
+        }
+        links.stopped = true;
     }
+    // The pull socket stays open until the process ends: nng_close of nng 1.5.2 hung on it in about half of the
+    // runs with a message on its way, also after nng_aio_stop and after the listener was closed.
     for (const auto &link : links.push) {
         nng_close(link.second);
     }
-    // Before the close: nng 1.5.2 hangs in nng_close of a pull socket while a callback asks for the next message.
-    if (links.receive != nullptr) {
-        nng_aio_stop(links.receive);
-    }
-    nng_close(links.pull);
 }
 
 } // namespace sesamespar
--- a/packages/connection/peer_links.h
+++ b/packages/connection/peer_links.h
@@ -40,7 +40,8 @@
 /// Traffic so far.
 peer_traffic peerTraffic(const peer_links &links);
 
-/// Closes all sockets. No call of the sink is under way or follows after it returns.
+/// Ends the links. No call of the sink is under way or follows after it returns. The listening socket is closed
+/// with the process only; the .cpp file says why.
 void stopPeerLinks(peer_links &links);
 
 } // namespace sesamespar
