Keep the logs of a cell that did not start

Cause: the error names the log of the process that did not get ready, but the cell removed its folder on the way out.

Change: a failed start keeps the folder.

Conclusion: orphans of a test that ctest kills are still possible.

--- a/test/harness/cell.cpp
+++ b/test/harness/cell.cpp
@@ -227,7 +227,7 @@
 cell::~cell()
 {
     daemons.clear();
-    const bool failed = std::uncaught_exceptions() > 0;
+    const bool failed = keepFolder || std::uncaught_exceptions() > 0;
     if (!failed && std::getenv("SESAMESPAR_KEEP_LOGS") == nullptr
         && folder.filename().string().starts_with("sesamespar-")) {
         std::error_code ignored;
@@ -243,6 +243,7 @@
     running->folder = makeFolder();
     const auto started = startAll(*running);
     if (!started) {
+        running->keepFolder = true;
         return started.error();
     }
     return running;
--- a/test/harness/cell.h
+++ b/test/harness/cell.h
@@ -48,7 +48,8 @@
     ~cell();
 
     cell_shape shape;
-    std::filesystem::path folder;
+    std::filesystem::path folder; ///< Settings files and logs.
+    bool keepFolder = false; ///< Set when something did not start, since the error names a log.
     child_process platform;
     child_process workers;
     child_process proxy;
