--- a/packages/connection/worker_api.h
+++ b/packages/connection/worker_api.h
@@ -22,10 +22,13 @@
 /// that a call that was delayed on its way cannot extend a lease past what its sender believes.
 using worker_clock = strong_value<struct worker_clock_tag, std::int64_t>;
 
-/// Control lease that a call acts under.
+/// Control lease that a call acts under, and the run of the worker that it is meant for. A worker that has
+/// restarted refuses calls meant for its former run, since a delayed start could otherwise run there after its
+/// sender has placed the task elsewhere.
 struct control_token {
     epoch_number epoch;
     daemon_id holder;
+    incarnation_id instance;
 };
 
 /// Takes, renews or releases the control lease, renews the leases of all tasks on the worker, and waits
--- a/test/standins/worker_state.cpp
+++ b/test/standins/worker_state.cpp
@@ -50,7 +50,7 @@
 bool mayTakeControl(const worker_state &worker, const control_request &request, worker_clock now)
 {
     const control_token &token = request.token;
-    if (token.epoch.value == 0) {
+    if (token.epoch.value == 0 || token.instance != worker.instance) {
         return false;
     }
     if (token.epoch == worker.current.epoch) {
@@ -206,7 +206,8 @@
 
 bool holdsControl(const worker_state &worker, const control_token &token, worker_clock now)
 {
-    return token.epoch.value != 0 && token.epoch == worker.current.epoch && token.holder == worker.current.holder
+    return token.epoch.value != 0 && token.instance == worker.instance && token.epoch == worker.current.epoch
+        && token.holder == worker.current.holder
         && now < worker.leaseUntil;
 }
 
