--- a/test/correctness/standin_worker.cpp
+++ b/test/correctness/standin_worker.cpp
@@ -20,9 +20,9 @@
     return worker;
 }
 
-control_token token(std::uint64_t epoch, const char *holder)
+control_token token(std::uint64_t epoch, const char *holder, std::uint64_t instance = 1)
 {
-    return {epoch_number(epoch), daemon_id(holder)};
+    return {epoch_number(epoch), daemon_id(holder), incarnation_id(instance)};
 }
 
 control_reply control(worker_state &worker, const control_token &by, std::int64_t now, event_sequence after = {})
--- a/test/correctness/standin_worker_host.cpp
+++ b/test/correctness/standin_worker_host.cpp
@@ -50,8 +50,6 @@
     return *pending.reply;
 }
 
-const control_token holder{epoch_number(1), daemon_id("a")};
-
 std::shared_ptr<worker_host> makeHost()
 {
     auto host = makeWorkerHost(startTimerQueue());
@@ -59,9 +57,15 @@
     return host;
 }
 
+/// Token of the tests; its instance is that of the worker that was probed last.
+control_token holder{epoch_number(1), daemon_id("a"), {}};
+
+/// Probes the worker for its clock and its instance.
 worker_clock clockOf(worker_host &host)
 {
-    return std::get<control_reply>(await(*call(host, control_request{})).value()).clock;
+    const control_reply probe = std::get<control_reply>(await(*call(host, control_request{})).value());
+    holder.instance = probe.instance;
+    return probe.clock;
 }
 
 control_request control(worker_clock now, milliseconds wait, event_sequence after = {})
--- a/test/standins/worker_state.cpp
+++ b/test/standins/worker_state.cpp
@@ -207,8 +207,7 @@
 bool holdsControl(const worker_state &worker, const control_token &token, worker_clock now)
 {
     return token.epoch.value != 0 && token.instance == worker.instance && token.epoch == worker.current.epoch
-        && token.holder == worker.current.holder
-        && now < worker.leaseUntil;
+        && token.holder == worker.current.holder && now < worker.leaseUntil;
 }
 
 void applyControl(worker_state &worker, const control_request &request, worker_clock now)
