--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,10 @@
 # Starts a whole cell on this machine, runs work of all kinds and loses a daemon in the middle.
 demo: build
 	@$(BUILD)/bin/demo apps
+
+SEED ?= 1
+MINUTES ?= 5
+
+# Runs the stateful models with fresh seeds, longer than CI does.
+soak: build
+	@BUILD=$(BUILD) tools/soak $(SEED) $(MINUTES)
