Look workers up in one place

Change: findWorker in worker_table; the model doubles only calls whose sender still waits. A widening multiplication that the linter reported is explicit.

--- a/packages/process/job_lifecycle.cpp
+++ b/packages/process/job_lifecycle.cpp
@@ -15,12 +15,6 @@
 // First delay of a retry; it doubles with each attempt so that a faulty task does not occupy its worker.
 constexpr backoff_settings retryBackoff{milliseconds(200), milliseconds(10000)};
 
-worker *findWorker(leader &state, const worker_id &name)
-{
-    const auto found = state.table.workers.find(name);
-    return found == state.table.workers.end() ? nullptr : &found->second;
-}
-
 task_record *findAttempt(leader &state, const task_id &id, job_ptr &subject)
 {
     subject = findJob(state.jobs, id.job);
@@ -127,7 +121,7 @@
     if (isFinal(task.state)) {
         return;
     }
-    worker *target = findWorker(state, task.worker);
+    worker *target = findWorker(state.table, task.worker);
     if (task.state == task_state::Waiting) {
         makeFinal(state, subject, task, task_state::Cancelled, why, now.monotonic);
     } else if (task.state == task_state::Claimed && target != nullptr && withdrawStart(state, *target, subject, task)) {
@@ -152,7 +146,7 @@
 void stopGangMembers(leader &state, job &subject)
 {
     for (const task_record &task : subject.record.tasks) {
-        worker *target = findWorker(state, task.worker);
+        worker *target = findWorker(state.table, task.worker);
         if ((task.state == task_state::Claimed || task.state == task_state::Running) && target != nullptr) {
             queueStop(state, *target, {subject.record.request.id, task.index});
         }
@@ -235,7 +229,7 @@
         if (task.state != task_state::Claimed || progress.startQueued || durable < progress.claim) {
             continue;
         }
-        worker *target = findWorker(state, task.worker);
+        worker *target = findWorker(state.table, task.worker);
         if (target == nullptr) {
             continue;
         }
@@ -294,7 +288,7 @@
 void claimTask(leader &state, const placement &decision, const clock_reading &now)
 {
     const job_ptr subject = findJob(state.jobs, decision.task.job);
-    worker *target = findWorker(state, decision.worker);
+    worker *target = findWorker(state.table, decision.worker);
     if (!subject || target == nullptr) {
         releaseTask(*state.decisions, decision.task);
         return;
@@ -393,7 +387,7 @@
     if (task.state != task_state::Claimed && task.state != task_state::Running) {
         return;
     }
-    if (worker *target = findWorker(state, task.worker)) {
+    if (worker *target = findWorker(state.table, task.worker)) {
         releasePlacement(state, *target, attemptOf(subject.record, task));
     }
     if (subject.record.repeatable || !mayHaveRun) {
--- a/packages/process/journal.cpp
+++ b/packages/process/journal.cpp
@@ -15,17 +15,11 @@
 // No configured team can have this name, since names of teams begin with a letter or digit.
 const job_id markerId{team_id("_system"), idempotency_key("copy-marker")};
 
-worker *findWorker(leader &state, const worker_id &name)
-{
-    const auto found = state.table.workers.find(name);
-    return found == state.table.workers.end() ? nullptr : &found->second;
-}
-
 // A copy is of use to the next leader only on a worker that still has it and that this leader can write, or
 // will be able to write again soon.
 bool isUsable(leader &state, const record_copy &copy)
 {
-    const worker *target = findWorker(state, copy.worker);
+    const worker *target = findWorker(state.table, copy.worker);
     return target != nullptr && target->listed && target->phase == worker_phase::Ready && !target->copiesReplaced;
 }
 
@@ -58,7 +52,7 @@
 {
     return state.recordPair.size() == 2
         && std::all_of(state.recordPair.begin(), state.recordPair.end(), [&](const worker_id &name) {
-               const worker *target = findWorker(state, name);
+               const worker *target = findWorker(state.table, name);
                return target != nullptr && isPlaceable(*target, now);
            });
 }
@@ -81,7 +75,7 @@
 
 void queuePut(leader &state, job &subject, record_copy &copy)
 {
-    worker *target = findWorker(state, copy.worker);
+    worker *target = findWorker(state.table, copy.worker);
     if (copy.queued || target == nullptr) {
         return;
     }
@@ -183,7 +177,7 @@
         copies.push_back({state.recordPair.at(1), {}, false});
     } else if (copies.size() == 1) {
         std::vector<worker *> all = candidates(state, now);
-        const rack_id rack = findWorker(state, copies.front().worker)->entry.rack;
+        const rack_id rack = findWorker(state.table, copies.front().worker)->entry.rack;
         const worker *second = pickOutsideRack(state, all, &rack);
         if (second == nullptr) {
             return false;
@@ -311,7 +305,7 @@
 void dropCopies(leader &state, const job &subject)
 {
     for (const record_copy &copy : subject.copies) {
-        worker *target = findWorker(state, copy.worker);
+        worker *target = findWorker(state.table, copy.worker);
         if (target != nullptr) {
             target->queuedDrops.push_back({subject.record.request.id, subject.record.revision});
             state.dirtyWorkers.insert(copy.worker);
--- a/packages/process/leader.cpp
+++ b/packages/process/leader.cpp
@@ -16,12 +16,6 @@
 // Bounds one pass, so that answers and renewals are not held up by a long queue.
 constexpr std::size_t maxPlacementsPerPass = 512;
 
-worker *findWorker(leader &state, const worker_id &name)
-{
-    const auto found = state.table.workers.find(name);
-    return found == state.table.workers.end() ? nullptr : &found->second;
-}
-
 void onCommandsReply(
     leader &state, worker &target, const worker_call_ended &ended, const clock_reading &now, outbox &out)
 {
@@ -51,7 +45,7 @@
         claimTask(state, decision, now);
     }
     for (const preemption &decision : decided.preemptions) {
-        if (worker *target = findWorker(state, decision.worker)) {
+        if (worker *target = findWorker(state.table, decision.worker)) {
             queueCheckpoint(state, *target, decision.task);
         }
     }
@@ -80,7 +74,7 @@
 void flushDirtyWorkers(leader &state, const clock_reading &now, outbox &out)
 {
     for (auto name = state.dirtyWorkers.begin(); name != state.dirtyWorkers.end();) {
-        worker *target = findWorker(state, *name);
+        worker *target = findWorker(state.table, *name);
         if (target == nullptr) {
             name = state.dirtyWorkers.erase(name);
             continue;
@@ -160,7 +154,7 @@
 
 void onWorkerCallEnded(leader &state, const worker_call_ended &ended, const clock_reading &now, outbox &out)
 {
-    worker *target = findWorker(state, ended.worker);
+    worker *target = findWorker(state.table, ended.worker);
     if (target == nullptr || ended.serial == 0 || slotOf(*target, ended.sort).serial != ended.serial) {
         return;
     }
@@ -187,7 +181,7 @@
 
 void drainWorker(leader &state, const worker_id &name)
 {
-    if (worker *target = findWorker(state, name)) {
+    if (worker *target = findWorker(state.table, name)) {
         queueDrain(state, *target);
         log_event("worker_draining").with("worker", name);
     }
--- a/packages/process/recovery.cpp
+++ b/packages/process/recovery.cpp
@@ -16,12 +16,6 @@
 // Segments of the archive may still hold records that all daemons have dropped.
 constexpr std::int64_t keptAfterExpiryMs = 60000;
 
-worker *findWorker(leader &state, const worker_id &name)
-{
-    const auto found = state.table.workers.find(name);
-    return found == state.table.workers.end() ? nullptr : &found->second;
-}
-
 bool mayStillRun(const task_record &task)
 {
     return task.state == task_state::Claimed || task.state == task_state::Running;
@@ -116,9 +110,9 @@
 void restoreCopies(leader &state, job &subject, const std::vector<record_copy> &found)
 {
     for (const record_copy &copy : found) {
-        const worker *target = findWorker(state, copy.worker);
+        const worker *target = findWorker(state.table, copy.worker);
         const bool sameRack = std::any_of(subject.copies.begin(), subject.copies.end(), [&](const record_copy &other) {
-            const worker *holder = findWorker(state, other.worker);
+            const worker *holder = findWorker(state.table, other.worker);
             return holder != nullptr && target != nullptr && holder->entry.rack == target->entry.rack;
         });
         if (target != nullptr && !sameRack && subject.copies.size() < 2) {
@@ -209,7 +203,7 @@
     }
     for (task_record &task : tasks) {
         const bool wanted = task.index.value < work.tasks;
-        worker *target = findWorker(state, task.worker);
+        worker *target = findWorker(state.table, task.worker);
         if (wanted && isFinal(task.state)) {
             task.state = task_state::Waiting;
             changed = true;
@@ -293,7 +287,7 @@
         // The worker was away while its copy was replaced.
         const bool counted = std::any_of(
             known->copies.begin(), known->copies.end(), [&](const record_copy &copy) { return copy.worker == source; });
-        worker *target = findWorker(state, source);
+        worker *target = findWorker(state.table, source);
         if (!counted && target != nullptr) {
             target->queuedDrops.push_back({id, record.revision});
             state.dirtyWorkers.insert(source);
--- a/packages/process/worker_table.cpp
+++ b/packages/process/worker_table.cpp
@@ -2,6 +2,12 @@
 
 namespace sesamespar {
 
+worker *findWorker(worker_table &table, const worker_id &name)
+{
+    const auto found = table.workers.find(name);
+    return found == table.workers.end() ? nullptr : &found->second;
+}
+
 call_slot &slotOf(worker &target, worker_call_sort sort)
 {
     return target.calls.at(static_cast<std::size_t>(sort));
--- a/packages/process/worker_table.h
+++ b/packages/process/worker_table.h
@@ -103,6 +103,9 @@
     roster_revision roster; ///< Revision of the VM list that the table follows.
 };
 
+/// Worker of that name, or null.
+worker *findWorker(worker_table &table, const worker_id &name);
+
 /// Slot of a sort of call.
 call_slot &slotOf(worker &target, worker_call_sort sort);
 
--- a/test/fuzz/leader_model.cpp
+++ b/test/fuzz/leader_model.cpp
@@ -123,7 +123,7 @@
 
 struct worker_model {
     worker_state state;
-    std::int64_t clockOffset = 0;
+    std::int64_t clockOffset = 0; // Milliseconds; the clocks of workers differ.
     rack_id rack;
     bool listed = true;
 };
@@ -303,7 +303,7 @@
         target.state.name = worker_id("worker-" + std::to_string(index));
         target.state.capacity = {millicores(2000), mebibytes(4096), accelerators(0)};
         target.state.instance = incarnation_id(++model.instances);
-        target.clockOffset = index * 1000000;
+        target.clockOffset = std::int64_t{1000000} * index;
         target.rack = rack_id("rack-" + std::to_string(index / 2));
         watchWorker(model.seen, target.state.name, target.state.capacity);
     }
@@ -490,7 +490,8 @@
 {
     std::vector<pending_call> copies;
     for (const pending_call &pending : model.calls) {
-        if (pending.sender == sender) {
+        // Copies of copies would double the calls with each step while a link is held.
+        if (pending.sender == sender && !pending.ended) {
             pending_call copy = pending;
             copy.ended = true; // Nobody waits for the answer of a copy.
             copy.delivered = false;
