Drop starts whose task was settled while they waited

A start that got no answer waited in the queue of a worker out of reach. After the task lease the leader placed the task elsewhere, and when the worker came back it sent the old start with a new time of sending.

Ruled out: the validity of commands, which bars delayed calls but not a call that is made anew; a stop queued at settlement, which can be overtaken by a call already taken from the queue.

Change: a start goes out only while the record still places that attempt on that worker. The shrunk case is a test of its own.

Conclusion: whatever waits for a worker is checked against the record when it is sent, not when it is queued.

--- a/packages/process/task_commands.cpp
+++ b/packages/process/task_commands.cpp
@@ -59,10 +59,26 @@
     return std::find_if(starts.begin(), starts.end(), [&](const start_command &start) { return start.task == task; });
 }
 
+// True while the record still places this attempt on the worker and its start is not confirmed. A start that
+// waited for a worker out of reach must not go out after its task was settled and placed elsewhere.
+bool isCurrent(const leader &state, const worker &target, const start_command &start)
+{
+    const job_ptr subject = findJob(state.jobs, start.task.job);
+    if (!subject || start.task.index.value >= subject->record.tasks.size()) {
+        return false;
+    }
+    const task_record &task = subject->record.tasks.at(start.task.index.value);
+    return task.attempt == start.task.attempt && task.worker == target.entry.name && task.state == task_state::Claimed;
+}
+
 commands_request takeQueued(leader &state, worker &target, time_point now)
 {
     queued_commands &queued = target.queued;
     target.sent = {};
+    queued.start.erase(std::remove_if(queued.start.begin(),
+                                      queued.start.end(),
+                                      [&](const start_command &start) { return !isCurrent(state, target, start); }),
+                       queued.start.end());
     const auto count = static_cast<std::ptrdiff_t>(std::min(queued.start.size(), maxStartsPerCall));
     target.sent.start.assign(queued.start.begin(), queued.start.begin() + count);
     queued.start.erase(queued.start.begin(), queued.start.begin() + count);
--- a/test/fuzz/leader_model.cpp
+++ b/test/fuzz/leader_model.cpp
@@ -664,3 +664,20 @@
                  {op_kind::LeaveWorker, 0, 0}});
     });
 }
+
+TEST_CASE("a start that waited for a worker out of reach is not sent after its task was placed elsewhere")
+{
+    FLAGS_minloglevel = google::GLOG_FATAL;
+    rc::prop("shrunk case", [] {
+        runCase({{op_kind::Submit, 0, 21},
+                 {op_kind::Submit, 0, 0},
+                 {op_kind::Submit, 0, 9},
+                 {op_kind::HoldRequests, 0, 0},
+                 {op_kind::Advance, 9, 0},
+                 {op_kind::Advance, 47, 0},
+                 {op_kind::Advance, 62, 0},
+                 {op_kind::Advance, 16, 0},
+                 {op_kind::Freeze, 0, 0},
+                 {op_kind::Advance, 27, 0}});
+    });
+}
