Close the listener after its connections have ended

The test's assertions passed; the process hung or crashed at its end, because the listener that was left open had connections in the library's threads while the library's static objects were destroyed. Leaving it open was a fix at the wrong depth: the race is between close() and connections that are still being handled.

Change: settleTrafficThreads waits until all threads of the library have handled what was pending; the listener is closed after that.

Conclusion: close() is safe once the threads have nothing of the listener left to handle.

--- a/packages/connection/front_end.cpp
+++ b/packages/connection/front_end.cpp
@@ -5,6 +5,7 @@
 #include "connection/codec.h"
 #include "connection/front_end_routes.h"
 #include "connection/http_guard.h"
+#include "connection/traffic_threads.h"
 
 // Boost 1.74 uses std::exchange in a header of the HTTP library without including <utility>.
 // clang-format off
@@ -14,7 +15,6 @@
 #include <cpprest/http_listener.h>
 #include <mutex>
 #include <unordered_map>
-#include <vector>
 // clang-format on
 
 namespace sesamespar {
@@ -183,14 +183,16 @@
     }
 }
 
-/// Keeps a listener open until the process ends. The library's close() raced with connections that it was about
-/// to read again, and one run in about 30 ended in a segmentation fault. Only the guard can reach its port.
-void keepListener(std::unique_ptr<http_listener> listener)
+/// Closes the listener. The library's close() raced with connections that it was about to read again and crashed
+/// in about one run of 30, so its threads first finish with the connections that the guard has closed.
+void closeListener(http_listener &listener)
 {
-    static std::mutex mutex;
-    static std::vector<http_listener *> kept;
-    const std::lock_guard lock(mutex);
-    kept.push_back(listener.release());
+    settleTrafficThreads();
+    try {
+        listener.close().get();
+    } catch (const std::exception &problem) {
+        log_event("listener_close_failed", log_level::Warning).with("reason", problem.what());
+    }
 }
 
 /// Opens the listener and returns its port.
@@ -274,7 +276,9 @@
     for (const auto &entry : unanswered) {
         sendResponse(entry.second, makeFault(504, "this daemon has stopped; the outcome is unknown"));
     }
-    keepListener(std::move(frontEnd.listener));
+    if (frontEnd.listener) {
+        closeListener(*frontEnd.listener);
+    }
 }
 
 } // namespace sesamespar
--- a/packages/connection/traffic_threads.cpp
+++ b/packages/connection/traffic_threads.cpp
@@ -7,16 +7,58 @@
 #include <pplx/threadpool.h>
 // clang-format on
 
+#include <atomic>
+#include <barrier>
+#include <latch>
+#include <memory>
+#include <mutex>
+
 namespace sesamespar {
 
+namespace {
+
+// What the library starts by itself.
+constexpr unsigned defaultThreads = 40;
+std::atomic<unsigned> threadCount = defaultThreads;
+
+// Occupies every thread at the same time, so that no handler that was begun before is still running afterwards.
+void occupyAllThreads()
+{
+    const auto threads = static_cast<std::ptrdiff_t>(threadCount.load());
+    const auto meeting = std::make_shared<std::barrier<>>(threads);
+    const auto done = std::make_shared<std::latch>(threads);
+    for (std::ptrdiff_t index = 0; index < threads; ++index) {
+        crossplat::threadpool::shared_instance().service().post([meeting, done] {
+            meeting->arrive_and_wait();
+            done->count_down();
+        });
+    }
+    done->wait();
+}
+
+} // namespace
+
 bool initializeTrafficThreads(unsigned threads)
 {
     try {
         crossplat::threadpool::initialize_with_threads(threads);
+        threadCount = threads;
         return true;
     } catch (const std::exception &) {
         return false;
     }
 }
 
+void settleTrafficThreads()
+{
+    // The end of a connection takes a few handlers, each of which posts the next.
+    constexpr int rounds = 8;
+    // Two callers at the same time would each hold a part of the threads and wait for the rest.
+    static std::mutex oneAtATime;
+    const std::lock_guard lock(oneAtATime);
+    for (int round = 0; round < rounds; ++round) {
+        occupyAllThreads();
+    }
+}
+
 } // namespace sesamespar
--- a/packages/connection/traffic_threads.h
+++ b/packages/connection/traffic_threads.h
@@ -7,4 +7,8 @@
 /// nothing if they are running already.
 bool initializeTrafficThreads(unsigned threads);
 
+/// Returns when the HTTP library's threads have handled what was known to them at the time of the call, such as
+/// the end of connections that were closed before. Must not be called from one of these threads.
+void settleTrafficThreads();
+
 } // namespace sesamespar
