Keep the runs of an earlier term on the life of the worker they were started in

Cause: a leader that took over put the runs it read from the store on a worker record without a life. The worker's first report then looked like a restart, all restored runs counted as over, and their tasks were started again. Ruled out: ends forgotten too early (the rows were still listed) and writes of the earlier leader (they are conditional on its term).

--- a/packages/process/cell_recovery.cpp
+++ b/packages/process/cell_recovery.cpp
@@ -34,7 +34,11 @@
 {
     const task_progress task = job.progress.tasks[position.value];
     cell_worker &worker = workerOf(leader, task.worker);
-    if (worker.birth.value != 0 && task.birth < worker.birth) {
+    // The record names the life of the worker; a later life than the newest that is recorded ends the run.
+    if (task.birth > worker.birth) {
+        beginLife(leader.state, worker, task.birth, now);
+    }
+    if (task.birth < worker.birth) {
         job.progress.tasks[position.value].phase = task_phase::Waiting;
         noteChange(leader.state, job);
         return;
