Put questions to the advisor in order of urgency, one for each machine

Cause: the placement advisor serves one call at a time for each calling machine. Ruled out: lack of room, since bookings come first in the order of placement. Change: a pass puts only as many questions as machines are free, in the order of placement; long ones take at most six tenths of the machines; room is kept for a step only while its tickets are on their way.

--- a/packages/process/advice_desk.cpp
+++ b/packages/process/advice_desk.cpp
@@ -14,6 +14,11 @@
 /// Time for which a daemon that did not answer gets no questions.
 constexpr milliseconds handPause{3000};
 constexpr milliseconds askAgainPause{100};
+/// A daemon whose questions need less than this gets the next one, so that the advisor need not wait for it.
+constexpr double shortBacklogMs = 15;
+/// Share of the daemons that may have a long question under way, in tenths; the others stay free for short ones.
+constexpr std::size_t longShareTenths = 6;
+constexpr std::size_t tenths = 10;
 
 double costOf(const cell_leader &leader, const advice_question &question)
 {
@@ -21,8 +26,7 @@
     if (job == leader.state.jobs.end() || !job->second->accepted.policy.advice) {
         return 0;
     }
-    const advice_terms &terms = *job->second->accepted.policy.advice;
-    return terms.decide.count() + terms.perWorker.count() * static_cast<double>(question.workers.size());
+    return adviceTime(*job->second->accepted.policy.advice, question.workers.size()).count();
 }
 
 /// The usable daemon with the least backlog.
@@ -51,9 +55,23 @@
 
 } // namespace
 
-milliseconds adviceLimit(double costMs)
+advice_capacity adviceCapacity(const cell_leader &leader, const clock_reading &now)
 {
-    return milliseconds(static_cast<std::int64_t>(costMs)) + answerGrace;
+    advice_capacity capacity;
+    std::size_t usable = 0;
+    for (const auto &[name, hand] : leader.hands) {
+        if (now.uptime >= hand.avoidedUntil) {
+            ++usable;
+            capacity.free += hand.backlogMs < shortBacklogMs ? 1 : 0;
+        }
+    }
+    const auto longOpen =
+        static_cast<std::size_t>(std::count_if(leader.questions.begin(), leader.questions.end(), [](const auto &entry) {
+            return entry.second.costMs > longAdvice.count();
+        }));
+    const std::size_t longLimit = std::max<std::size_t>(1, usable * longShareTenths / tenths);
+    capacity.freeForLong = std::min(capacity.free, longLimit - std::min(longLimit, longOpen));
+    return capacity;
 }
 
 void askAdvice(const std::shared_ptr<cell_leader> &leader, advice_question question, const clock_reading &now)
@@ -66,7 +84,7 @@
     const correlation_id correlation(++leader->lastQuestion);
     open_question open{question, hand->first, costOf(*leader, question), now.uptime, {}};
     hand->second.backlogMs += open.costMs;
-    const milliseconds limit = adviceLimit(hand->second.backlogMs);
+    const milliseconds limit = milliseconds(static_cast<std::int64_t>(hand->second.backlogMs)) + answerGrace;
     open.dueAt = now.uptime + limit;
     leader->questions.emplace(correlation, std::move(open));
     addCount(*leader->context.counters, "advice_questions");
--- a/packages/process/advice_desk.h
+++ b/packages/process/advice_desk.h
@@ -3,9 +3,13 @@
 #pragma once
 
 #include "process/cell_leader.h"
+#include "term/job_placement.h"
 
 namespace sesamespar {
 
+/// Daemons that have no question under way.
+advice_capacity adviceCapacity(const cell_leader &leader, const clock_reading &now);
+
 /// Hands a question to the daemon with the least left to do.
 void askAdvice(const std::shared_ptr<cell_leader> &leader, advice_question question, const clock_reading &now);
 
@@ -18,7 +22,4 @@
 /// Gives up questions whose answer is overdue.
 void expireQuestions(cell_leader &leader, const clock_reading &now);
 
-/// Limit of one call to the advisor for a question that takes `costMs` there.
-milliseconds adviceLimit(double costMs);
-
 } // namespace sesamespar
--- a/packages/process/cell_leader.cpp
+++ b/packages/process/cell_leader.cpp
@@ -80,7 +80,7 @@
     if (leader->placementDue && leader->workersListed) {
         leader->placementDue = false;
         const time_point begun = readClocks().monotonic;
-        placement_outcome outcome = placeWaiting(leader->state, now);
+        placement_outcome outcome = placeWaiting(leader->state, adviceCapacity(*leader, now), now);
         noteDecision(*leader->context.counters, readClocks().monotonic - begun);
         for (advice_question &question : outcome.questions) {
             askAdvice(leader, std::move(question), now);
--- a/packages/process/load_report.cpp
+++ b/packages/process/load_report.cpp
@@ -26,6 +26,32 @@
     leader->stepDown("another daemon has begun a term");
 }
 
+/// One line about how full the cell is.
+void logUse(const cell_leader &leader)
+{
+    resources capacity;
+    resources reserved;
+    std::size_t runs = 0;
+    for (const auto &[id, worker] : leader.state.workers) {
+        if (worker->listed && worker->missedLooks == 0) {
+            capacity = capacity + worker->capacity;
+            reserved = reserved + worker->reserved;
+            runs += worker->runs.size();
+        }
+    }
+    std::uint64_t pending = 0;
+    for (const auto &[queue, entry] : leader.load.queues) {
+        pending += entry.pending;
+    }
+    log_event("cell_use")
+        .with("millicores", capacity.processors)
+        .with("reserved_millicores", reserved.processors)
+        .with("runs", runs)
+        .with("jobs", leader.state.jobs.size())
+        .with("pending", pending)
+        .with("questions", leader.questions.size());
+}
+
 } // namespace
 
 void reportLoad(const std::shared_ptr<cell_leader> &leader, const clock_reading &now)
@@ -46,6 +72,7 @@
         }
     }
     leader->load = load;
+    logUse(*leader);
     store_transaction transaction;
     transaction.conditions.push_back({cell_keys::term, store_revision(leader->fence.value)});
     transaction.writes.push_back({cell_keys::load, encodeLoad(load), {}});
--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -89,6 +89,16 @@
     std::map<const cell_worker *, resources> left;
 };
 
+/// What one pass uses up and brings about.
+struct placement_pass {
+    cell_state &state;
+    const clock_reading &now;
+    room_table rooms;
+    advice_capacity capacity;
+    placement_outcome outcome;
+    std::size_t gathering = 0; ///< Gangs for which room is gathered.
+};
+
 /// A worker and how many tasks of the step it could take.
 struct candidate {
     cell_worker *worker = nullptr;
@@ -185,30 +195,41 @@
     return candidates;
 }
 
-/// Asks about workers whose suitability is not known yet. False if there are none.
-bool askAboutUnknown(cell_state &state,
-                     const waiting_step &waiting,
-                     const clock_reading &now,
-                     placement_outcome &outcome)
+/// Puts a question if the advisor can take it.
+void ask(placement_pass &pass, const waiting_step &waiting, advice_question question)
 {
-    cell_step &step = waiting.job->steps[waiting.step];
+    const advice_terms &terms = *waiting.job->accepted.policy.advice;
+    const bool isLong = adviceTime(terms, question.workers.size()) > longAdvice;
+    if (pass.capacity.free == 0 || (isLong && pass.capacity.freeForLong == 0)) {
+        return;
+    }
+    --pass.capacity.free;
+    if (isLong) {
+        --pass.capacity.freeForLong;
+    }
+    pass.capacity.freeForLong = std::min(pass.capacity.freeForLong, pass.capacity.free);
+    waiting.job->steps[waiting.step].asking = true;
+    pass.outcome.questions.push_back(std::move(question));
+}
+
+/// Asks about workers whose suitability is not known yet.
+void askAboutUnknown(placement_pass &pass, const waiting_step &waiting)
+{
+    const cell_step &step = waiting.job->steps[waiting.step];
     advice_question question{{waiting.job->accepted.key, waiting.step}, {}};
-    for (const auto &[id, worker] : state.workers) {
+    for (const auto &[id, worker] : pass.state.workers) {
         if (question.workers.size() == maxAdviceWorkers) {
             break;
         }
         const auto asked = step.asked.find(id);
         const bool known = asked != step.asked.end() && asked->second == worker->birth;
-        if (!known && isSuitable(waiting, *worker) && takesRuns(*worker, now.uptime)) {
+        if (!known && isSuitable(waiting, *worker) && takesRuns(*worker, pass.now.uptime)) {
             question.workers.push_back(id);
         }
     }
-    if (question.workers.empty()) {
-        return false;
+    if (!question.workers.empty()) {
+        ask(pass, waiting, std::move(question));
     }
-    step.asking = true;
-    outcome.questions.push_back(std::move(question));
-    return true;
 }
 
 std::vector<task_position> waitingTasks(const cell_job &job, const cell_step &step)
@@ -243,12 +264,11 @@
 }
 
 /// Asks for new tickets for the workers that have room.
-void askForTickets(const waiting_step &waiting,
+void askForTickets(placement_pass &pass,
+                   const waiting_step &waiting,
                    const std::vector<candidate> &candidates,
-                   std::size_t tasks,
-                   placement_outcome &outcome)
+                   std::size_t tasks)
 {
-    cell_step &step = waiting.job->steps[waiting.step];
     advice_question question{{waiting.job->accepted.key, waiting.step}, {}};
     std::int64_t fit = 0;
     for (const candidate &choice : candidates) {
@@ -258,8 +278,7 @@
         question.workers.push_back(choice.worker->id);
         fit += choice.fit;
     }
-    step.asking = true;
-    outcome.questions.push_back(std::move(question));
+    ask(pass, waiting, std::move(question));
 }
 
 void logPlacement(const waiting_step &waiting, std::size_t placed, std::size_t wanted, const clock_reading &now)
@@ -275,96 +294,135 @@
 }
 
 /// Places the tasks whose place has a ticket. Returns how many.
-std::size_t placeTasks(cell_state &state,
+std::size_t placeTasks(placement_pass &pass,
                        const waiting_step &waiting,
                        const std::vector<task_position> &tasks,
-                       const std::vector<candidate> &places,
-                       const clock_reading &now,
-                       placement_outcome &outcome)
+                       const std::vector<candidate> &places)
 {
     cell_job &job = *waiting.job;
     const cell_step &step = job.steps[waiting.step];
-    const bool gang = job.accepted.job.steps[waiting.step].gang;
+    const job_step &declared = job.accepted.job.steps[waiting.step];
     const run_number gangRun = nextRun(job, step.first, step.count);
     std::size_t placed = 0;
     for (std::size_t index = 0; index < places.size(); ++index) {
         if (!places[index].ticketed) {
             continue;
         }
-        const run_number run = gang ? gangRun : nextRun(job, tasks[index].value, 1);
-        outcome.placed.push_back(&placeRun(state, job, tasks[index], run, *places[index].worker, now));
+        const run_number run = declared.gang ? gangRun : nextRun(job, tasks[index].value, 1);
+        pass.outcome.placed.push_back(&placeRun(pass.state, job, tasks[index], run, *places[index].worker, pass.now));
+        takeRoom(pass.rooms, {places[index]}, declared.need);
         ++placed;
     }
     if (placed > 0) {
-        logPlacement(waiting, placed, tasks.size(), now);
+        logPlacement(waiting, placed, tasks.size(), pass.now);
     }
     return placed;
 }
 
-/// Places one step as far as possible; false if it is a gang that lacks room.
-bool placeStep(cell_state &state,
-               const waiting_step &waiting,
-               room_table &rooms,
-               const clock_reading &now,
-               placement_outcome &outcome)
+/// True if the gang would fit on its suitable workers were they empty.
+bool couldEverFit(const placement_pass &pass, const waiting_step &waiting)
+{
+    const cell_step &step = waiting.job->steps[waiting.step];
+    const job_step &declared = waiting.job->accepted.job.steps[waiting.step];
+    std::int64_t fit = 0;
+    for (const auto &[worker, left] : pass.rooms.left) {
+        if (isSuitable(waiting, *worker) && (!waiting.job->accepted.policy.advice || step.good.contains(worker->id))) {
+            fit += countFits(declared.need, worker->capacity);
+        }
+    }
+    return fit >= static_cast<std::int64_t>(step.count);
+}
+
+/// Places a gang as a whole or not at all. Room that is free on its workers is kept for it while its tickets are
+/// asked for and, up to a number of gangs, while the rest of the room is gathered.
+void placeGang(placement_pass &pass, const waiting_step &waiting, bool mayAsk)
 {
     cell_job &job = *waiting.job;
-    cell_step &step = job.steps[waiting.step];
     const job_step &declared = job.accepted.job.steps[waiting.step];
-    const bool mayAsk = job.accepted.policy.advice && !step.asking && now.uptime >= step.askAgainAt;
-    if (mayAsk && step.good.empty()) {
-        askAboutUnknown(state, waiting, now, outcome);
-        return true;
-    }
-    const std::vector<task_position> tasks = waitingTasks(job, step);
-    const std::vector<candidate> candidates = listCandidates(state, waiting, rooms, now);
+    const std::vector<task_position> tasks = waitingTasks(job, job.steps[waiting.step]);
+    const std::vector<candidate> candidates = listCandidates(pass.state, waiting, pass.rooms, pass.now);
     const std::vector<candidate> places = choosePlaces(candidates, tasks.size());
-    takeRoom(rooms, places, declared.need);
-    if (declared.gang && places.size() < tasks.size()) {
-        if (mayAsk && !step.asking) {
-            askAboutUnknown(state, waiting, now, outcome);
+    if (places.size() < tasks.size()) {
+        const bool fits = couldEverFit(pass, waiting);
+        if (!fits && mayAsk) {
+            askAboutUnknown(pass, waiting);
         }
-        return false;
+        if (fits && pass.gathering < gatheringGangs) {
+            ++pass.gathering;
+            takeRoom(pass.rooms, places, declared.need);
+        }
+        return;
     }
-    const bool ticketed =
-        std::all_of(places.begin(), places.end(), [](const candidate &place) { return place.ticketed; });
-    std::size_t placed = 0;
-    if (ticketed || !declared.gang) {
-        placed = placeTasks(state, waiting, tasks, places, now, outcome);
+    if (std::all_of(places.begin(), places.end(), [](const candidate &place) { return place.ticketed; })) {
+        placeTasks(pass, waiting, tasks, places);
+        return;
+    }
+    if (mayAsk) {
+        askForTickets(pass, waiting, candidates, tasks.size());
     }
-    if (placed < places.size() && mayAsk) {
-        askForTickets(waiting, candidates, tasks.size() - placed, outcome);
-    } else if (placed < tasks.size() && mayAsk) {
-        askAboutUnknown(state, waiting, now, outcome);
+    if (job.steps[waiting.step].asking) {
+        takeRoom(pass.rooms, places, declared.need);
+    }
+}
+
+/// Places as many tasks of a step as there is room for.
+void placeSingles(placement_pass &pass, const waiting_step &waiting, bool mayAsk)
+{
+    cell_job &job = *waiting.job;
+    const job_step &declared = job.accepted.job.steps[waiting.step];
+    const std::vector<task_position> tasks = waitingTasks(job, job.steps[waiting.step]);
+    const std::vector<candidate> candidates = listCandidates(pass.state, waiting, pass.rooms, pass.now);
+    std::vector<candidate> places = choosePlaces(candidates, tasks.size());
+    const std::size_t placed = placeTasks(pass, waiting, tasks, places);
+    if (placed == tasks.size()) {
+        return;
+    }
+    if (mayAsk && placed < places.size()) {
+        askForTickets(pass, waiting, candidates, tasks.size() - placed);
+    } else if (mayAsk) {
+        askAboutUnknown(pass, waiting);
+    }
+    if (job.steps[waiting.step].asking) {
+        std::erase_if(places, [](const candidate &place) { return place.ticketed; });
+        takeRoom(pass.rooms, places, declared.need);
+    }
+}
+
+void placeStep(placement_pass &pass, const waiting_step &waiting)
+{
+    const cell_job &job = *waiting.job;
+    const cell_step &step = job.steps[waiting.step];
+    const bool mayAsk = job.accepted.policy.advice && !step.asking && pass.now.uptime >= step.askAgainAt;
+    if (job.accepted.policy.advice && step.good.empty()) {
+        if (mayAsk) {
+            askAboutUnknown(pass, waiting);
+        }
+    } else if (job.accepted.job.steps[waiting.step].gang) {
+        placeGang(pass, waiting, mayAsk);
+    } else {
+        placeSingles(pass, waiting, mayAsk);
     }
-    return true;
 }
 
 } // namespace
 
-placement_outcome placeWaiting(cell_state &state, const clock_reading &now)
+std::chrono::duration<double, std::milli> adviceTime(const advice_terms &terms, std::size_t workers)
 {
-    placement_outcome outcome;
-    room_table rooms;
+    return terms.decide + terms.perWorker * static_cast<double>(workers);
+}
+
+placement_outcome placeWaiting(cell_state &state, advice_capacity capacity, const clock_reading &now)
+{
+    placement_pass pass{state, now, {}, capacity, {}, 0};
     for (const auto &[id, worker] : state.workers) {
         if (takesRuns(*worker, now.uptime)) {
-            rooms.left.emplace(worker.get(), freeRoom(*worker));
+            pass.rooms.left.emplace(worker.get(), freeRoom(*worker));
         }
     }
-    std::size_t gathering = 0;
     for (const waiting_step &waiting : collectWaiting(state, now.utc)) {
-        room_table before;
-        if (gathering >= gatheringGangs) {
-            before = rooms;
-        }
-        if (!placeStep(state, waiting, rooms, now, outcome)) {
-            if (gathering >= gatheringGangs) {
-                rooms = std::move(before);
-            }
-            ++gathering;
-        }
+        placeStep(pass, waiting);
     }
-    return outcome;
+    return std::move(pass.outcome);
 }
 
 void takeAdvice(cell_state &state, const advice_question &question, const advice_answer &answer, time_point sentAt)
