--- a/packages/process/advice_desk.cpp
+++ b/packages/process/advice_desk.cpp
@@ -89,7 +89,9 @@
     leader->questions.emplace(correlation, std::move(open));
     addCount(*leader->context.counters, "advice_questions");
     if (!hand->second.at.value.empty()) {
-        leader->sendQuestion(hand->second.at, correlation, question);
+        leader->context.sendToPeer(
+            hand->second.at,
+            hand_question{correlation, leader->context.settings.peerAddress, limit, std::move(question)});
         return;
     }
     leader->context.advice.ask(question, limit, [leader, correlation](result<advice_answer> answer) {
--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -132,20 +132,11 @@
                                    std::move(sink));
 }
 
-question_sender sendThrough(cell_daemon &daemon)
-{
-    return [&daemon](const address &to, correlation_id correlation, const advice_question &question) {
-        const hand_question message{correlation, daemon.context.settings.peerAddress, milliseconds(0), question};
-        sendPacket(*daemon.links, to, encodeHandMessage(message));
-    };
-}
-
 void lead(cell_daemon &daemon, fencing_token fence, const clock_reading &now)
 {
     daemon.leader = beginTerm(
         daemon.context,
         fence,
-        sendThrough(daemon),
         [&daemon](const char *reason) {
             log_event("term_conceded", log_level::Warning).with("reason", reason);
             concede(*daemon.election);
@@ -284,7 +275,7 @@
             } else {
                 reply.problem = answer.error().message;
             }
-            sendPacket(*daemon.links, to, encodeHandMessage(reply));
+            daemon.context.sendToPeer(to, reply);
         });
 }
 
@@ -318,9 +309,9 @@
     if (const auto *submit = std::get_if<submit_call>(&request.call)) {
         submitJob(daemon, request, *submit, *queue, key, std::move(done), now);
     } else if (std::holds_alternative<status_call>(request.call)) {
-        queryJob(daemon.context, key, request.patience, countOpen(daemon, std::move(done)));
+        queryJob(daemon.context, key, request.patience, countOpen(daemon, std::move(done)), now);
     } else {
-        requestCancel(daemon.context, key, request.patience, countOpen(daemon, std::move(done)));
+        requestCancel(daemon.context, key, request.patience, countOpen(daemon, std::move(done)), now);
     }
 }
 
--- a/packages/process/cell_daemon.h
+++ b/packages/process/cell_daemon.h
@@ -3,8 +3,6 @@
 #pragma once
 
 #include "connection/caller_port.h"
-#include "connection/hand_message.h"
-#include "connection/packet_links.h"
 #include "process/cell_election.h"
 #include "process/cell_leader.h"
 #include "process/job_intake.h"
@@ -21,7 +19,6 @@
     }
 
     cell_context &context;
-    std::shared_ptr<packet_links> links;
     cell_configuration_ptr configuration; ///< Newest valid version; null before the first.
     follow_handle configurationFollower;
     std::shared_ptr<store_mirror> cellKeys;
@@ -41,7 +38,7 @@
     std::atomic<bool> ready = false; ///< Takes new connections.
 };
 
-/// Starts all parts. `links` carries the messages between the daemons.
+/// Starts all parts.
 std::unique_ptr<cell_daemon> startCellDaemon(cell_context &context);
 
 /// Takes a message of another daemon.
--- a/packages/process/cell_election.cpp
+++ b/packages/process/cell_election.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds leaseLength{1500};
 constexpr milliseconds renewPeriod{400};
 constexpr milliseconds renewLimit{400};
+constexpr milliseconds renewRetry{100};
 constexpr milliseconds electionLimit{800};
 /// Pause before a campaign, times the daemon's turn, so that one campaigns at a time.
 constexpr milliseconds turnPause{40};
@@ -25,7 +26,7 @@
 constexpr milliseconds campaignRetry{300};
 
 void campaign(const std::shared_ptr<cell_election> &election);
-void scheduleRenewal(const std::shared_ptr<cell_election> &election, milliseconds pause);
+void scheduleRenewal(const std::shared_ptr<cell_election> &election, milliseconds pause, const clock_reading &now);
 
 std::string leaderValue(const cell_context &context)
 {
@@ -41,7 +42,7 @@
     return standbyPause + turnPause * static_cast<int>(turn);
 }
 
-void scheduleCampaign(cell_election &election, milliseconds pause)
+void scheduleCampaign(cell_election &election, milliseconds pause, const clock_reading &now)
 {
     if (election.withdrawn || election.campaigning || election.campaignTimer.is_linked()) {
         return;
@@ -51,7 +52,7 @@
             campaign(self);
         }
     };
-    subscribe(election.context.timers, election.campaignTimer, readClocks().monotonic + pause);
+    subscribe(election.context.timers, election.campaignTimer, now.monotonic + pause);
 }
 
 void loseTerm(cell_election &election, const char *reason)
@@ -67,7 +68,7 @@
 void win(const std::shared_ptr<cell_election> &election, store_revision revision, const clock_reading &now)
 {
     election->leaderPresent = true;
-    scheduleRenewal(election, renewPeriod);
+    scheduleRenewal(election, renewPeriod, now);
     if (election->leading) {
         log_event("leader_key_claimed_again").with("fence", election->fence);
         return;
@@ -103,7 +104,7 @@
         }
     }
     if (!election->leaderPresent) {
-        scheduleCampaign(*election, campaignRetry);
+        scheduleCampaign(*election, campaignRetry, now);
     }
 }
 
@@ -123,12 +124,14 @@
     });
 }
 
-void takeLease(const std::shared_ptr<cell_election> &election, const result<granted_lease> &lease)
+void takeLease(const std::shared_ptr<cell_election> &election,
+               const result<granted_lease> &lease,
+               const clock_reading &now)
 {
     if (!lease || election->leaderPresent || election->withdrawn) {
         election->campaigning = false;
         if (!election->leaderPresent) {
-            scheduleCampaign(*election, campaignRetry);
+            scheduleCampaign(*election, campaignRetry, now);
         }
         return;
     }
@@ -144,11 +147,13 @@
     election->campaigning = true;
     election->context.store.openLease(leaseLength, electionLimit, [election](result<granted_lease> lease) {
         post(election->context.box,
-             [election, lease = std::move(lease)](const clock_reading &) { takeLease(election, lease); });
+             [election, lease = std::move(lease)](const clock_reading &now) { takeLease(election, lease, now); });
     });
 }
 
-void takeRenewal(const std::shared_ptr<cell_election> &election, const result<granted_lease> &renewed)
+void takeRenewal(const std::shared_ptr<cell_election> &election,
+                 const result<granted_lease> &renewed,
+                 const clock_reading &now)
 {
     if (!election->leading) {
         return;
@@ -156,13 +161,13 @@
     if (!renewed && renewed.error().kind == error_kind::NotFound) {
         log_event("leader_lease_lost", log_level::Warning).with("fence", election->fence);
         election->leaderPresent = false;
-        scheduleCampaign(*election, campaignPause(*election));
+        scheduleCampaign(*election, campaignPause(*election), now);
         return;
     }
-    scheduleRenewal(election, renewed ? renewPeriod : milliseconds(100));
+    scheduleRenewal(election, renewed ? renewPeriod : renewRetry, now);
 }
 
-void scheduleRenewal(const std::shared_ptr<cell_election> &election, milliseconds pause)
+void scheduleRenewal(const std::shared_ptr<cell_election> &election, milliseconds pause, const clock_reading &now)
 {
     election->renewTimer.fire = [weak = election->weak_from_this()](const clock_reading &) {
         const auto self = weak.lock();
@@ -171,10 +176,10 @@
         }
         self->context.store.renewLease(self->lease, renewLimit, [self](result<granted_lease> renewed) {
             post(self->context.box,
-                 [self, renewed = std::move(renewed)](const clock_reading &) { takeRenewal(self, renewed); });
+                 [self, renewed = std::move(renewed)](const clock_reading &when) { takeRenewal(self, renewed, when); });
         });
     };
-    subscribe(election->context.timers, election->renewTimer, readClocks().monotonic + pause);
+    subscribe(election->context.timers, election->renewTimer, now.monotonic + pause);
 }
 
 } // namespace
@@ -184,14 +189,14 @@
     return std::make_shared<cell_election>(context, std::move(sink));
 }
 
-void noteLeaderKey(cell_election &election, const store_item &item, const clock_reading &)
+void noteLeaderKey(cell_election &election, const store_item &item, const clock_reading &now)
 {
     election.leaderPresent = item.revision.value != 0;
     if (election.leaderPresent) {
         election.leaderName = item.value.substr(0, item.value.find(' '));
         unsubscribe(election.campaignTimer);
     } else if (election.known) {
-        scheduleCampaign(election, campaignPause(election));
+        scheduleCampaign(election, campaignPause(election), now);
     }
 }
 
@@ -210,11 +215,11 @@
     }
 }
 
-void noteKeysListed(cell_election &election, const clock_reading &)
+void noteKeysListed(cell_election &election, const clock_reading &now)
 {
     election.known = true;
     if (!election.leaderPresent) {
-        scheduleCampaign(election, campaignPause(election));
+        scheduleCampaign(election, campaignPause(election), now);
     }
 }
 
--- a/packages/process/cell_leader.cpp
+++ b/packages/process/cell_leader.cpp
@@ -31,7 +31,6 @@
 
 std::shared_ptr<cell_leader> beginTerm(cell_context &context,
                                        fencing_token fence,
-                                       question_sender sendQuestion,
                                        std::function<void(const char *reason)> stepDown,
                                        const clock_reading &now)
 {
@@ -39,7 +38,6 @@
     leader->fence = fence;
     leader->beganAt = now.uptime;
     leader->provedAt = now.uptime;
-    leader->sendQuestion = std::move(sendQuestion);
     leader->stepDown = std::move(stepDown);
     log_event("term_begun").with("daemon", context.settings.name).with("fence", fence);
     addCount(*context.counters, "terms_begun");
--- a/packages/process/cell_leader.h
+++ b/packages/process/cell_leader.h
@@ -38,9 +38,6 @@
     time_point dueAt; ///< In uptime.
 };
 
-/// Sends a question to another daemon; the answer comes back through takeHandAnswer.
-using question_sender = std::function<void(const address &to, correlation_id, const advice_question &)>;
-
 /// The term.
 struct cell_leader : std::enable_shared_from_this<cell_leader> {
     explicit cell_leader(cell_context &means)
@@ -52,7 +49,6 @@
     fencing_token fence; ///< Also the revision of the term's key.
     time_point beganAt; ///< In uptime.
     std::function<void(const char *reason)> stepDown;
-    question_sender sendQuestion;
 
     cell_state state;
     bool recovered = false; ///< All jobs and their progress were read.
@@ -85,7 +81,6 @@
 /// Begins a term. `fence` is the revision at which the term's key was written.
 std::shared_ptr<cell_leader> beginTerm(cell_context &context,
                                        fencing_token fence,
-                                       question_sender sendQuestion,
                                        std::function<void(const char *reason)> stepDown,
                                        const clock_reading &now);
 
--- a/packages/process/cell_ports.h
+++ b/packages/process/cell_ports.h
@@ -3,6 +3,7 @@
 
 #include "connection/advice_port.h"
 #include "connection/discovery_port.h"
+#include "connection/hand_message.h"
 #include "connection/store_port.h"
 #include "connection/worker_port.h"
 #include "process/mailbox.h"
@@ -32,6 +33,8 @@
     advice_port advice;
     discovery_port discovery;
     configuration_port configuration;
+    /// Sends a message to another daemon; it is lost if the daemon cannot be reached.
+    std::function<void(const address &to, const hand_message &)> sendToPeer;
     mailbox box;
     timer_service timers;
     metrics_ptr counters = makeMetrics();
--- a/packages/process/job_queries.cpp
+++ b/packages/process/job_queries.cpp
@@ -36,10 +36,11 @@
 
 using query_ptr = std::shared_ptr<job_query>;
 
-query_ptr makeQuery(cell_context &context, const job_key &key, milliseconds patience, caller_done done)
+query_ptr
+makeQuery(cell_context &context, const job_key &key, milliseconds patience, caller_done done, const clock_reading &now)
 {
     auto query = std::make_shared<job_query>(context, key, std::move(done));
-    query->answerBy = readClocks().uptime + std::max(patience - answerMargin, milliseconds(1));
+    query->answerBy = now.uptime + std::max(patience - answerMargin, milliseconds(1));
     return query;
 }
 
@@ -167,14 +168,16 @@
 
 } // namespace
 
-void queryJob(cell_context &context, const job_key &key, milliseconds patience, caller_done done)
+void queryJob(
+    cell_context &context, const job_key &key, milliseconds patience, caller_done done, const clock_reading &now)
 {
-    readProgress(makeQuery(context, key, patience, std::move(done)));
+    readProgress(makeQuery(context, key, patience, std::move(done), now));
 }
 
-void requestCancel(cell_context &context, const job_key &key, milliseconds patience, caller_done done)
+void requestCancel(
+    cell_context &context, const job_key &key, milliseconds patience, caller_done done, const clock_reading &now)
 {
-    const query_ptr query = makeQuery(context, key, patience, std::move(done));
+    const query_ptr query = makeQuery(context, key, patience, std::move(done), now);
     query->cancelling = true;
     readForCancel(query);
 }
