Serve late urgent jobs first, and shorten the hold of unreached workers

Cause: an urgent job that missed its objective went behind all that could still be in time, and then failed; it is small and one of many. After the loss of a leader, tasks on workers that could not be reached waited 15 s, since the earlier leader might have extended them for 9 s. Change: late jobs of the most urgent priority rank with those in time; a leader without a proof of its term extends for 3.5 s, which with the lease of 6 s covers the longest outage of the store; a job waits until a worker has begun it.

--- a/packages/process/worker_sessions.cpp
+++ b/packages/process/worker_sessions.cpp
@@ -20,9 +20,10 @@
 constexpr unsigned missedLooksBeforeLapse = 1;
 /// Time after which an order counts as lost. Workers answer within a few milliseconds.
 constexpr milliseconds orderLimit{400};
-/// A leader that has not proved its term for this long no longer extends what runs, since another leader counts on
-/// it. Longer than the outages of the store that are common (4 to 8 s), so that work goes on through them.
-constexpr milliseconds extensionAuthority{9000};
+/// A leader that has not proved its term for this long no longer extends what runs, since the next leader waits that
+/// long for workers it does not reach. Together with the lease of 6 s, work goes on through outages of the store of
+/// 9 s, the longest that the platform's pages name.
+constexpr milliseconds extensionAuthority{3500};
 /// Clocks of workers may be slow by this share.
 constexpr double slowestClock = 1.02;
 /// Allowance for the way of a call and for the age of a worker's clock reading.
@@ -306,6 +307,7 @@
         return;
     }
     run->startUnknown = false;
+    run->job->begun = true;
     run->orderedAt = now.uptime;
     if (run->state == run_state::Starting) {
         run->state = run_state::Running;
--- a/packages/term/cell_admission.cpp
+++ b/packages/term/cell_admission.cpp
@@ -8,7 +8,8 @@
     for (const auto &[key, job] : state.jobs) {
         if (!isFinal(job->progress.phase)) {
             queue_load &queue = load.queues[job->accepted.policy.queue];
-            queue.pending += job->progress.phase == job_phase::Queued ? 1 : 0;
+            // A task that is placed may not have reached its worker yet, as after the loss of all daemons.
+            queue.pending += job->begun ? 0 : 1;
         }
     }
     return load;
--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -109,6 +109,7 @@
     std::vector<cell_step> steps;
     std::vector<placed_run *> runs; ///< By position; null if nothing is placed.
     bool cancelled = false; ///< The caller has cancelled it.
+    bool begun = false; ///< A worker is known to have begun one of its tasks.
 
     store_revision jobRevision; ///< Of the accepted job in the store; 0 once it was removed.
     store_revision progressRevision; ///< Of the progress in the store; 0 if none was written.
--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -26,10 +26,23 @@
     job_outlook outlook;
 };
 
+/// Queues of the most urgent priority have many small jobs, which are worth their little room also when late.
+constexpr int urgentPriority = 0;
+
+/// Coarse order: what can be of use first, and of this what can still be in time or is urgent.
+int rankOf(const waiting_step &waiting)
+{
+    if (waiting.outlook.prospect == job_prospect::Overdue) {
+        return 2;
+    }
+    const bool urgent = waiting.job->accepted.policy.priority == urgentPriority;
+    return urgent || waiting.outlook.prospect == job_prospect::InTime ? 0 : 1;
+}
+
 bool isAhead(const waiting_step &left, const waiting_step &right)
 {
-    if (left.outlook.prospect != right.outlook.prospect) {
-        return left.outlook.prospect < right.outlook.prospect;
+    if (rankOf(left) != rankOf(right)) {
+        return rankOf(left) < rankOf(right);
     }
     const int leftPriority = left.job->accepted.policy.priority;
     const int rightPriority = right.job->accepted.policy.priority;
--- a/packages/term/worker_reports.cpp
+++ b/packages/term/worker_reports.cpp
@@ -53,6 +53,7 @@
         end.job = takeLateEnd(state, row, now);
     } else {
         end.job = found->second->job;
+        end.job->begun = true;
         endRun(state, *found->second, row.how, row.checkpoint, now);
         table.erase(found);
     }
@@ -97,6 +98,7 @@
         placed_run &run = *found->second;
         run.checkpoint = row.checkpoint.empty() ? run.checkpoint : row.checkpoint;
         run.startUnknown = false;
+        run.job->begun = true;
         run.state = run.state == run_state::Starting ? run_state::Running : run.state;
         table.erase(found);
     }
