Refuse at once while the store is lost, and call it less often

Calls to the store were the largest price. Change: after a transaction without an answer a probe tells a lost answer from a lost store. While the store is lost a daemon is not ready and refuses at once, which is true, since nothing is sent; a job that may be stored is given up after 1.2 s, and the caller's next try under the same key settles it.

--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -17,9 +17,11 @@
 constexpr milliseconds registrationPeriod{1500};
 constexpr milliseconds storeLimit{1000};
 /// Pause between two watches of the cell's keys.
-constexpr milliseconds cellWatchPause{20};
+constexpr milliseconds cellWatchPause{60};
 /// Retry-After before the first configuration has arrived.
 constexpr milliseconds startRetryAfter{1000};
+/// Retry-After while the store cannot be reached; callers' next try goes to another daemon.
+constexpr milliseconds storeRetryAfter{1000};
 /// A draining daemon ends when no request was open for this long.
 constexpr milliseconds quietBeforeEnd{300};
 
@@ -165,7 +167,6 @@
         .with("queues", configuration->queues.size())
         .with("services", configuration->services.size());
     daemon.configuration = configuration;
-    daemon.ready = !daemon.draining;
 }
 
 /// Part of the path after the queue's prefix.
@@ -306,6 +307,11 @@
         return;
     }
     const job_key key(rest);
+    if (daemon.intake->storeLost) {
+        log_event("store_lost_refusal").with("job", key);
+        done(call_refused{"the store cannot be reached", storeRetryAfter});
+        return;
+    }
     if (const auto *submit = std::get_if<submit_call>(&request.call)) {
         submitJob(daemon, request, *submit, *queue, key, std::move(done), now);
     } else if (std::holds_alternative<status_call>(request.call)) {
@@ -334,6 +340,8 @@
 void settleCellDaemon(cell_daemon &daemon, const clock_reading &now)
 {
     settleIntake(daemon.intake, now);
+    // Without the store no job can be taken in here; another daemon may reach it.
+    daemon.ready = daemon.configuration && !daemon.draining && !daemon.intake->storeLost;
     if (daemon.leader) {
         settleTerm(daemon.leader, now);
     }
--- a/packages/process/cell_recovery.cpp
+++ b/packages/process/cell_recovery.cpp
@@ -13,7 +13,7 @@
 constexpr milliseconds listLimit{2000};
 constexpr milliseconds retryPause{100};
 /// Changes of jobs are collected for this long; a burst of arrivals then costs one call.
-constexpr milliseconds jobWatchPause{10};
+constexpr milliseconds jobWatchPause{25};
 /// Progress of finished jobs that is removed in one transaction.
 constexpr std::size_t sweepBatch = 20;
 
--- a/packages/process/job_intake.cpp
+++ b/packages/process/job_intake.cpp
@@ -18,8 +18,11 @@
 constexpr milliseconds retryPause{80};
 /// Time kept back of a caller's patience for the way of the answer.
 constexpr milliseconds answerMargin{250};
-/// A job that could not be sent to the store for this long is refused, so that the caller may try another daemon.
-constexpr milliseconds storePatience{1000};
+/// A job that could not be stored for this long is given up, so that the caller may try another daemon.
+constexpr milliseconds storePatience{1200};
+/// Limit of the probe that tells a lost answer from a lost store, and the pause between two of them.
+constexpr milliseconds probeLimit{500};
+constexpr milliseconds probePause{200};
 /// Retry-After of jobs refused because the store does not answer.
 constexpr milliseconds storeRetryAfter{1000};
 
@@ -53,6 +56,41 @@
     }
 }
 
+void probeStore(const std::shared_ptr<job_intake> &intake);
+
+void takeProbe(const std::shared_ptr<job_intake> &intake, const result<store_item> &answered, const clock_reading &now)
+{
+    intake->probing = false;
+    const bool lost = !answered;
+    if (lost != intake->storeLost) {
+        intake->storeLost = lost;
+        log_event(lost ? "intake_store_lost" : "intake_store_regained", log_level::Warning)
+            .with("waiting", intake->waiting.size())
+            .with("problem", lost ? answered.error().message : "");
+    }
+    if (!lost) {
+        return;
+    }
+    intake->probeTimer.fire = [weak = std::weak_ptr(intake)](const clock_reading &) {
+        if (const auto self = weak.lock()) {
+            probeStore(self);
+        }
+    };
+    subscribe(intake->context.timers, intake->probeTimer, now.monotonic + probePause);
+}
+
+void probeStore(const std::shared_ptr<job_intake> &intake)
+{
+    if (intake->probing) {
+        return;
+    }
+    intake->probing = true;
+    intake->context.store.read(cell_keys::term, probeLimit, [intake](result<store_item> item) {
+        post(intake->context.box,
+             [intake, item = std::move(item)](const clock_reading &now) { takeProbe(intake, item, now); });
+    });
+}
+
 bool isStored(const std::vector<store_item> &current, const job_key &key)
 {
     return std::any_of(current.begin(), current.end(), [&key](const store_item &item) {
@@ -73,10 +111,15 @@
     }
 }
 
-void takeCommit(job_intake &intake, job_batch &batch, const result<store_commit> &commit, const clock_reading &now)
+void takeCommit(const std::shared_ptr<job_intake> &shared,
+                job_batch &batch,
+                const result<store_commit> &commit,
+                const clock_reading &now)
 {
+    job_intake &intake = *shared;
     --intake.openCommits;
     if (!commit) {
+        probeStore(shared);
         addCount(*intake.context.counters, "intake_writes_failed");
         const bool unknown =
             commit.error().kind == error_kind::Unknown || commit.error().kind == error_kind::InvalidInput;
@@ -128,7 +171,7 @@
     ++intake->openCommits;
     intake->context.store.commit(makeTransaction(*batch), commitLimit, [intake, batch](result<store_commit> commit) {
         post(intake->context.box, [intake, batch, commit = std::move(commit)](const clock_reading &now) {
-            takeCommit(*intake, *batch, commit, now);
+            takeCommit(intake, *batch, commit, now);
         });
     });
 }
@@ -137,8 +180,9 @@
 {
     for (auto next = intake.waiting.begin(); next != intake.waiting.end();) {
         const auto job = next++;
-        const bool stuck = !job->mayBeStored && now.uptime >= job->arrivedAt + storePatience;
-        if (stuck || now.uptime >= job->answerBy) {
+        const bool stuck = now.uptime >= job->arrivedAt + storePatience;
+        const bool refusable = intake.storeLost && !job->mayBeStored;
+        if (stuck || refusable || now.uptime >= job->answerBy) {
             giveUp(intake, *job, now);
             intake.waiting.erase(job);
         }
--- a/packages/process/job_intake.h
+++ b/packages/process/job_intake.h
@@ -33,9 +33,13 @@
     timer retryTimer;
     time_point commitAfter; ///< In uptime; no transaction before, after a fault.
     std::size_t open = 0; ///< Jobs that are not answered yet.
+
+    bool storeLost = false; ///< Neither a transaction nor the probe after it was answered.
+    bool probing = false;
+    timer probeTimer;
 };
 
-/// Takes a job in. It is stored with others of the same batch of events.
+/// Takes a job in. It is stored with others of the same batch of events, or refused at once while the store is lost.
 void takeIn(job_intake &intake, accepted_job job, milliseconds patience, caller_done done, const clock_reading &now);
 
 /// Runs after each batch of events: sends transactions and answers jobs whose time is over.
--- a/packages/process/load_report.cpp
+++ b/packages/process/load_report.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Callers may see a count that is 2 s old; this leaves room for a lost answer and a slow watch.
-constexpr milliseconds loadPeriod{400};
+constexpr milliseconds loadPeriod{600};
 constexpr milliseconds loadLimit{1000};
 
 void takeWritten(const std::shared_ptr<cell_leader> &leader, time_point sentAt, const result<store_commit> &commit)
--- a/packages/process/progress_writer.cpp
+++ b/packages/process/progress_writer.cpp
@@ -14,7 +14,7 @@
 
 /// Changes are collected for this long before they are written. The store takes about 4 ms for a call, so waits grow
 /// little, and a busy leader stays far below the store's rate of writes.
-constexpr milliseconds collectTime{6};
+constexpr milliseconds collectTime{12};
 /// Transactions under way at a time, so that a lost answer holds up only the jobs in its transaction.
 constexpr unsigned maxOpenCommits = 4;
 /// Limit of the platform on the conditions, writes and removals of one transaction.
--- a/test/error/cell_failures.cpp
+++ b/test/error/cell_failures.cpp
@@ -201,3 +201,44 @@
     CHECK(runUntil(cell, 3000, [&] { return isCompleted(cell, 9); }));
     CHECK(cell.jobs[keyNumber(9)].starts == 1);
 }
+
+TEST_CASE("a daemon that has lost the store refuses at once, so that callers go to another one")
+{
+    // Requests at daemons that were cut off once waited for their deadline, 3 s, and failed.
+    world cell({});
+    runFor(cell, 2000);
+    const std::size_t daemon = (*leaderOf(cell) + 1) % 3;
+    cell.daemons[daemon]->cutFromStore = true;
+    submitJob(cell, daemon, keyNumber(1), oneStep(1, 1, "200"));
+    runFor(cell, 1500);
+    REQUIRE(cell.jobs[keyNumber(1)].answeredAt);
+    CHECK_FALSE(cell.jobs[keyNumber(1)].refusedOnly);
+    CHECK_FALSE(cell.daemons[daemon]->daemon->ready);
+    submitJob(cell, daemon, keyNumber(2), oneStep(1, 1, "200"));
+    runFor(cell, 10);
+    CHECK(cell.jobs[keyNumber(2)].answeredAt);
+    CHECK(cell.jobs[keyNumber(2)].refusedOnly);
+    cell.daemons[daemon]->cutFromStore = false;
+    runFor(cell, 1500);
+    CHECK(cell.daemons[daemon]->daemon->ready);
+    submitJob(cell, daemon, keyNumber(2), oneStep(1, 1, "200"));
+    CHECK(runUntil(cell, 2000, [&] { return isCompleted(cell, 2); }));
+    CHECK(cell.broken.empty());
+}
+
+TEST_CASE("a job that is placed but not begun still counts as waiting")
+{
+    // A leader that took over after the loss of all daemons once told that nothing waits.
+    world cell({});
+    runFor(cell, 2000);
+    for (const auto &worker : cell.workers) {
+        worker->reachable = false;
+    }
+    submitJob(cell, 0, keyNumber(1), oneStep(1, 1, "200"));
+    runFor(cell, 1000);
+    REQUIRE(storedPhase(cell, keyNumber(1)) == job_phase::Running);
+    killDaemon(cell, *leaderOf(cell));
+    REQUIRE(runUntil(cell, 4000, [&] { return leaderOf(cell).has_value(); }));
+    runFor(cell, 1500);
+    CHECK(cell.daemons[*leaderOf(cell)]->daemon->load.queues[queue_id("queue")].pending == 1);
+}
