--- a/packages/base/log.cpp
+++ b/packages/base/log.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 /// Bytes of lines that wait to be written. A busy second writes about 100 KB.
-constexpr std::size_t maxWaitingBytes = 256 * 1024;
+constexpr std::size_t maxWaitingBytes = std::size_t{256} * 1024;
 /// Lines are written together once in this time, since each call of the system costs.
 constexpr std::chrono::milliseconds writePeriod{100};
 
--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -20,8 +20,9 @@
 constexpr milliseconds cellWatchPause{60};
 /// Retry-After before the first configuration has arrived.
 constexpr milliseconds startRetryAfter{1000};
-/// Retry-After while the store cannot be reached; callers' next try goes to another daemon.
-constexpr milliseconds storeRetryAfter{1000};
+/// Retry-After while the store cannot be reached. Outages last 4 to 9 s and callers come again four times, so that
+/// with 1 s their tries are used up before it is back.
+constexpr milliseconds storeRetryAfter{2000};
 /// A draining daemon ends when no request was open for this long.
 constexpr milliseconds quietBeforeEnd{300};
 
--- a/packages/process/job_intake.cpp
+++ b/packages/process/job_intake.cpp
@@ -23,8 +23,8 @@
 /// Limit of the probe that tells a lost answer from a lost store, and the pause between two of them.
 constexpr milliseconds probeLimit{500};
 constexpr milliseconds probePause{200};
-/// Retry-After of jobs refused because the store does not answer.
-constexpr milliseconds storeRetryAfter{1000};
+/// Retry-After of jobs refused because the store does not answer, as for those refused at the door.
+constexpr milliseconds storeRetryAfter{2000};
 
 using job_batch = std::list<incoming_job>;
 
--- /dev/null
+++ b/test/error/platform_input.cpp
@@ -0,0 +1,178 @@
+// What the platform's interfaces may send. Guards against entries of other writers, missing fields and unreadable
+// bytes that name something to use, and against malformed jobs that are stored.
+#include "platform/base64.h"
+#include "platform/caller_front.h"
+#include "platform/operator_configuration.h"
+#include "platform/platform_settings.h"
+#include "platform/store_client.h"
+#include "platform/worker_client.h"
+#include "platform/worker_discovery.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sesamespar;
+using namespace sesamespar::platform;
+
+namespace {
+
+const std::string goodEntry =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","born":1700000000123,)"
+    R"("capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"clockMs":5,"seq":4})";
+
+} // namespace
+
+TEST_CASE("a worker's entry is decoded")
+{
+    const auto listing = decodeWorkerEntry(worker_id("i-1"), goodEntry);
+    REQUIRE(listing);
+    CHECK(listing->at == address("10.0.0.1:80"));
+    CHECK(listing->service == service_id("s"));
+    CHECK(listing->rack == "r1-3");
+    CHECK(listing->labels == std::set<std::string>{"a", "r1-3"});
+    CHECK(listing->capacity.processors == millicores(16000));
+    CHECK(listing->birth == worker_birth(1700000000123));
+    CHECK_FALSE(listing->draining);
+}
+
+TEST_CASE("an entry that lacks what is needed names no worker")
+{
+    const worker_id id("i-1");
+    CHECK_FALSE(decodeWorkerEntry(id, ""));
+    CHECK_FALSE(decodeWorkerEntry(id, "\xff\xfe\x01"));
+    CHECK_FALSE(decodeWorkerEntry(id, "[1,2]"));
+    CHECK_FALSE(decodeWorkerEntry(id, R"({"service":"s","address":"10.0.0.1:80","state":"ready"})"));
+    CHECK_FALSE(decodeWorkerEntry(id, R"({"service":"s","address":7,"state":"ready","capacity":{"cpu":1,"memMb":1}})"));
+    CHECK_FALSE(
+        decodeWorkerEntry(id, R"({"service":"s","address":"x","state":"ready","capacity":{"cpu":1,"memMb":1}})"));
+    CHECK_FALSE(
+        decodeWorkerEntry(id, R"({"service":5,"address":"a:1","state":"ready","capacity":{"cpu":1,"memMb":1}})"));
+    CHECK_FALSE(
+        decodeWorkerEntry(id, R"({"service":"s","address":"a:1","state":"resting","capacity":{"cpu":1,"memMb":1}})"));
+    CHECK_FALSE(
+        decodeWorkerEntry(id, R"({"service":"s","address":"a:1","state":"ready","capacity":{"cpu":"1","memMb":1}})"));
+}
+
+TEST_CASE("a configuration keeps the queues that can be read")
+{
+    const auto configuration = decodeConfiguration(
+        R"({"version":7,"routes":[{"name":"q","host":"h.example","prefix":"/p/","service":"s","priority":1,)"
+        R"("maxAttempts":3,"stretch":2.2,"targetLatencyMs":1000,)"
+        R"("advice":{"decideMs":550.0,"periodMs":7.9,"validMs":1500}},{"name":"broken"},5],)"
+        R"("services":[{"name":"s","enforcesCapacity":true}]})");
+    REQUIRE(configuration);
+    REQUIRE(configuration.value()->queues.size() == 1);
+    const queue_policy &policy = configuration.value()->queues.front().policy;
+    CHECK(policy.maxAttempts == 3);
+    CHECK(policy.stretch == Approx(2.2));
+    REQUIRE(policy.advice);
+    CHECK(policy.advice->valid == milliseconds(1500));
+    CHECK(configuration.value()->services.front().refusesOverload);
+    CHECK_FALSE(decodeConfiguration("{}"));
+    CHECK_FALSE(decodeConfiguration("version"));
+}
+
+TEST_CASE("the longest prefix of a host's queues decides")
+{
+    cell_configuration configuration;
+    configuration.queues.push_back({"h", "/a/", {}});
+    configuration.queues.push_back({"h", "/a/b/", {}});
+    configuration.queues.push_back({"g", "/a/b/c/", {}});
+    CHECK(findQueue(configuration, "h", "/a/b/c/x") == &configuration.queues[1]);
+    CHECK(findQueue(configuration, "h", "/a/x") == &configuration.queues[0]);
+    CHECK(findQueue(configuration, "h", "/x") == nullptr);
+    CHECK(findQueue(configuration, "unknown", "/a/") == nullptr);
+}
+
+TEST_CASE("jobs that cannot be run are told what is wrong")
+{
+    const auto problemOf = [](const std::string &body) {
+        const auto job = decodeJob(body);
+        return job ? std::string() : job.error().message;
+    };
+    CHECK(problemOf(R"({"spec":"x","steps":[{"count":2,"cpu":500,"memMb":16,"estimateMs":900}]})").empty());
+    CHECK(problemOf("{") != "");
+    CHECK(problemOf("[]") != "");
+    CHECK(problemOf(R"({"spec":"x"})").find("steps") != std::string::npos);
+    CHECK(problemOf(R"({"steps":[{"count":0,"cpu":500}]})").find("steps[0].count") != std::string::npos);
+    CHECK(problemOf(R"({"steps":[{"count":4000000000,"cpu":500}]})").find("steps[0].count") != std::string::npos);
+    CHECK(problemOf(R"({"steps":[{"count":1,"after":[0]}]})").find("steps[0].after") != std::string::npos);
+    CHECK(problemOf(R"({"steps":[{"count":1},{"count":1,"after":[2]}]})").find("steps[1].after") != std::string::npos);
+    CHECK(problemOf(R"({"steps":[{"count":1,"after":["0"]}]})").find("steps[0].after") != std::string::npos);
+    CHECK(problemOf(R"({"steps":[{"count":1,"cpu":-5}]})").find("steps[0]") != std::string::npos);
+    CHECK(problemOf(R"({"spec":")" + std::string(5000, 'x') + R"(","steps":[{"count":1}]})").find("payload")
+          != std::string::npos);
+    CHECK(problemOf(R"({"repeats":3,"steps":[{"count":1}]})").find("repeats") != std::string::npos);
+    CHECK(problemOf(R"({"steps":[{"count":1,"longRunning":true}]})").find("longRunning") != std::string::npos);
+}
+
+TEST_CASE("a worker's report is decoded row by row")
+{
+    const auto report = decodeReport(
+        R"({"clockMs":482113,"born":1700000000123,"running":[["5c0e7a21d94b36f8.0.1.17",2,"00aa",41,3]],)"
+        R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"x",1,"done",""],[60,"5c0e7a21d94b36f8.0.0.0",4,"odd",""]]})");
+    REQUIRE(report);
+    CHECK(report.value().workerClock == milliseconds(482113));
+    REQUIRE(report.value().running.size() == 1);
+    CHECK(report.value().running.front().task == run_task{job_key("5c0e7a21d94b36f8"), 1, 17});
+    CHECK(report.value().running.front().checkpoint == "00aa");
+    REQUIRE(report.value().ended.size() == 1);
+    CHECK(report.value().ended.front().how == run_end::Done);
+    // A row that cannot be read may be any run, so that nothing is missing for certain.
+    CHECK_FALSE(report.value().complete);
+    CHECK_FALSE(decodeReport("{}"));
+    CHECK_FALSE(decodeReport("no report"));
+}
+
+TEST_CASE("a start carries what the worker needs")
+{
+    start_order order;
+    order.task = {job_key("5c0e7a21d94b36f8"), 1, 17};
+    order.run = run_number(2);
+    order.payload = "text \"quoted\"";
+    order.checkpoint = "00aa";
+    order.ticket = advice_ticket("t");
+    order.leaseUntil = milliseconds(486000);
+    order.fence = fencing_token(7);
+    CHECK(encodeStart(order)
+          == R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"spec":"text \"quoted\"","deadlineMs":486000,)"
+             R"("fencingToken":7,"checkpoint":"00aa","ticket":"t"})");
+}
+
+TEST_CASE("the latest event of each key counts")
+{
+    const auto page =
+        decodeEvents(R"({"events":[{"key":"a","value":"MQ==","revision":5},{"key":"b","value":"MQ==","revision":6},)"
+                     R"({"key":"a","revision":7,"tombstone":true},{"key":"b","value":"Mg==","revision":8},)"
+                     R"({"key":"c","value":"*","revision":9},4],"storeRevision":9})");
+    REQUIRE(page);
+    CHECK(page.value().removedKeys == std::vector<std::string>{"a"});
+    REQUIRE(page.value().items.size() == 1);
+    CHECK(page.value().items.front().value == "2");
+    CHECK(page.value().storeRevision == store_revision(9));
+}
+
+TEST_CASE("base64 keeps all bytes")
+{
+    for (const std::string &bytes : {std::string(), std::string("a"), std::string("ab"), std::string("a\0\xff", 3)}) {
+        CHECK(decodeBase64(encodeBase64(bytes)) == bytes);
+    }
+    CHECK_FALSE(decodeBase64("abc"));
+    CHECK_FALSE(decodeBase64("a*c="));
+}
+
+TEST_CASE("the platform's settings are decoded, and missing ones are named")
+{
+    const std::string text = "node: n1\nip: 10.1.0.13\nzone: z\nlisten: {front: '10.1.0.13:1', ready: '10.1.0.13:2'}\n"
+                             "portRange: [7720, 7735]\nplatform: {address: '10.2.0.7:8'}\nadvice: '10.2.0.9:8'\n"
+                             "bounds: {maxHoldMs: 5000, status_s: 60, new_one: 3}\nunknown: {a: 1}\n";
+    const auto settings = parsePlatformSettings(text);
+    REQUIRE(settings);
+    CHECK(settings.value().cell.name == daemon_id("n1"));
+    CHECK(settings.value().cell.peerAddress == address("10.1.0.13:7720"));
+    CHECK(settings.value().cell.limits.longestLease == milliseconds(5000));
+    CHECK(settings.value().cell.limits.keepFinished == std::chrono::seconds(60));
+    CHECK(settings.value().workersAreCalled);
+    CHECK(parsePlatformSettings("node: n1").error().message.find("portRange") != std::string::npos);
+    CHECK_FALSE(parsePlatformSettings("[1]"));
+    CHECK_FALSE(parsePlatformSettings("{"));
+}
