Find slow and standing workers by the work that reports show

Cause: tasks on workers that stand still or are several times slower waited there, although others had room; a task that failed on a worker could be placed on it again, so one failing worker used up a job's attempts. Ruled out: a limit on the run's age, since durations spread by 2.5 and estimates are off by up to nine tenths. Change: the growth of the shares of work between two reports gives the speed of each run; a worker below 0.35 of the cell's mean gets one run at a time, and runs that would end sooner elsewhere are stopped there. A failed task goes to another worker if one has room.

--- a/packages/connection/worker_port.h
+++ b/packages/connection/worker_port.h
@@ -88,6 +88,7 @@
     run_task task;
     run_number run;
     std::string checkpoint;
+    std::optional<int> percent; ///< Share of its work that is done, if the worker tells.
 };
 
 /// An ended run.
--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -333,7 +333,7 @@
     daemon.drainSince = now.uptime;
     withdraw(*daemon.election);
     if (daemon.registration.value != 0) {
-        daemon.context.store.endLease(daemon.registration, storeLimit, [](result<granted_lease>) {});
+        daemon.context.store.endLease(daemon.registration, storeLimit, [](const result<granted_lease> &) {});
     }
     endIfQuiet(daemon, now);
 }
--- a/packages/process/cell_election.cpp
+++ b/packages/process/cell_election.cpp
@@ -86,7 +86,7 @@
     election->campaigning = false;
     if (election->withdrawn) {
         if (commit && commit.value().applied) {
-            election->context.store.endLease(election->lease, electionLimit, [](result<granted_lease>) {});
+            election->context.store.endLease(election->lease, electionLimit, [](const result<granted_lease> &) {});
         }
         return;
     }
@@ -235,7 +235,7 @@
     unsubscribe(election.renewTimer);
     if (election.leading) {
         election.leading = false;
-        election.context.store.endLease(election.lease, electionLimit, [](result<granted_lease>) {});
+        election.context.store.endLease(election.lease, electionLimit, [](const result<granted_lease> &) {});
         election.sink.lost("this daemon stops");
     }
 }
--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -46,6 +46,9 @@
     time_point placedAt; ///< In uptime.
     time_point orderedAt; ///< When the last answered call about this run was answered, in uptime.
     std::string checkpoint; ///< Newest one that the worker has reported.
+    int percent = 0; ///< Share of its work that was done at the latest report.
+    std::optional<time_point> percentAt; ///< In uptime; nothing before the first report.
+    double speed = 1; ///< Work done between two reports over what was expected; 0 if it stands still.
 };
 
 using run_list = boost::intrusive::list<placed_run, boost::intrusive::constant_time_size<true>>;
@@ -74,6 +77,7 @@
     resources reserved; ///< By all runs in `runs`.
     run_list runs;
     worker_record record;
+    double speed = 1; ///< Moving mean of the speeds of the runs on it; see worker_speed.h.
 
     unsigned foreignRuns = 0; ///< Runs that it reports and that this term did not place there.
     std::optional<milliseconds> clock; ///< Its clock when it last told it.
@@ -140,6 +144,7 @@
     std::unordered_map<job_key, cell_job_ptr> jobs; ///< Not final ones, and final ones with runs or unstored changes.
     std::map<worker_id, std::map<end_number, unstored_end>> ends;
     std::map<queue_id, queue_history> history;
+    double meanSpeed = 1; ///< Moving mean over all workers, since estimates may be off in one direction.
     bool stopsRequested = false; ///< Some run is to be stopped and no stop was sent yet.
     std::vector<cell_job_ptr> changed; ///< Jobs whose progress has to be written, each once.
 
--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -117,8 +117,21 @@
     cell_worker *worker = nullptr;
     std::int64_t fit = 0;
     bool ticketed = false; ///< No ticket is needed, or a valid one is there.
+    bool failedHere = false; ///< A waiting task of the step has failed there in its latest run.
 };
 
+/// True if a waiting task of the step has failed on the worker in its latest run.
+bool hasFailedOn(const cell_job &job, const cell_step &step, const worker_id &worker)
+{
+    for (std::uint32_t position = step.first; position < step.first + step.count; ++position) {
+        const task_progress &task = job.progress.tasks[position];
+        if (task.phase == task_phase::Waiting && task.failures > 0 && task.worker == worker) {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::int64_t countFits(const resources &need, const resources &room)
 {
     std::int64_t fit = std::numeric_limits<std::int64_t>::max();
@@ -174,7 +187,10 @@
             fit = std::min(fit, declared.maxPerWorker - runsOfStep(job, step, worker));
         }
         if (fit > 0) {
-            candidates.push_back({&worker, fit, !advised || ticketHolds(step, worker.id, now.uptime)});
+            candidates.push_back({&worker,
+                                  fit,
+                                  !advised || ticketHolds(step, worker.id, now.uptime),
+                                  hasFailedOn(job, step, worker.id)});
         }
     };
     if (advised) {
@@ -195,6 +211,9 @@
         if (leftNear != rightNear) {
             return leftNear;
         }
+        if (left.failedHere != right.failedHere) {
+            return right.failedHere;
+        }
         if (left.ticketed != right.ticketed) {
             return left.ticketed;
         }
--- a/packages/term/worker_reports.cpp
+++ b/packages/term/worker_reports.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "term/run_lifecycle.h"
+#include "term/worker_speed.h"
 
 namespace sesamespar {
 
@@ -89,6 +90,7 @@
     for (const ended_row &row : report.ended) {
         takeEnd(state, worker, row, table, now);
     }
+    std::vector<reported_percent> speeds;
     for (const running_row &row : report.running) {
         const auto found = table.find({row.task, row.run});
         if (found == table.end()) {
@@ -96,6 +98,9 @@
             continue;
         }
         placed_run &run = *found->second;
+        if (row.percent) {
+            speeds.push_back({&run, *row.percent});
+        }
         run.checkpoint = row.checkpoint.empty() ? run.checkpoint : row.checkpoint;
         run.startUnknown = false;
         run.job->begun = true;
@@ -108,6 +113,7 @@
             endRun(state, *run, run->state == run_state::Stopping ? run_end::Stopped : run_end::Lapsed, {}, now);
         }
     }
+    judgeSpeed(state, worker, speeds, now);
     advanceSeenEnds(state, worker);
     return foreign;
 }
@@ -126,6 +132,7 @@
     worker.clock.reset();
     worker.seenEnds = end_number(0);
     worker.record = {};
+    worker.speed = 1;
     worker.foreignRuns = 0;
 }
 
--- /dev/null
+++ b/packages/term/worker_speed.cpp
@@ -0,0 +1,116 @@
+#include "term/worker_speed.h"
+
+#include "base/log.h"
+#include "term/objective.h"
+#include "term/run_lifecycle.h"
+
+#include <algorithm>
+
+namespace sesamespar {
+
+namespace {
+
+/// Shortest time between two reports from which a speed is taken; shares are whole percents.
+constexpr milliseconds shortestSample{300};
+/// Weight of the newest report in a worker's mean: two reports in a row find a worker that stands still.
+constexpr double workerWeight = 0.5;
+constexpr double cellWeight = 0.02;
+/// A worker below this share of the cell's mean speed is slow. Slow workers of the platform take 4 to 8 times as long.
+constexpr double slowShare = 0.35;
+/// Time for which a slow worker gets one run at a time; renewed by each report that finds it slow.
+constexpr milliseconds avoidance{1500};
+/// A run is moved if what is left of it takes this many times as long as all of it would elsewhere.
+constexpr double gainToMove = 1.5;
+/// Moves of a task, so that none is moved for ever between workers that all seem slow.
+constexpr std::uint64_t mostMoves = 2;
+constexpr double wholeWork = 100;
+
+double expectedMs(const cell_state &state, const placed_run &run)
+{
+    return static_cast<double>(
+        std::max<std::int64_t>(expectedDuration(state, *run.job, stepOf(*run.job, run.position)).count(), 1));
+}
+
+/// Takes the share; true if the run's speed could be told.
+bool measure(const cell_state &state, const reported_percent &reported, const clock_reading &now)
+{
+    placed_run &run = *reported.run;
+    if (!run.percentAt) {
+        run.percent = reported.percent;
+        run.percentAt = now.uptime;
+        return false;
+    }
+    const auto since = now.uptime - *run.percentAt;
+    if (since < shortestSample) {
+        return false;
+    }
+    const double done = std::max(0, reported.percent - run.percent) / wholeWork * expectedMs(state, run);
+    run.speed = done / std::chrono::duration<double, std::milli>(since).count();
+    run.percent = reported.percent;
+    run.percentAt = now.uptime;
+    return true;
+}
+
+bool isGang(const placed_run &run)
+{
+    return run.job->accepted.job.steps[stepOf(*run.job, run.position)].gang;
+}
+
+bool isSlow(const cell_state &state, double speed)
+{
+    return speed < slowShare * state.meanSpeed;
+}
+
+bool shouldMove(const cell_state &state, const placed_run &run)
+{
+    const task_progress &task = run.job->progress.tasks[run.position.value];
+    if (run.state != run_state::Running || !isSlow(state, run.speed) || run.run.value > task.failures + mostMoves) {
+        return false;
+    }
+    const double expected = expectedMs(state, run);
+    const double left = (wholeWork - run.percent) / wholeWork * expected;
+    return left > gainToMove * expected * std::max(run.speed, 0.0);
+}
+
+} // namespace
+
+void judgeSpeed(cell_state &state,
+                cell_worker &worker,
+                const std::vector<reported_percent> &reported,
+                const clock_reading &now)
+{
+    double sum = 0;
+    int count = 0;
+    for (const reported_percent &entry : reported) {
+        // A gang stands still if any of its workers does, so it tells nothing about this one.
+        if (measure(state, entry, now) && !isGang(*entry.run)) {
+            sum += entry.run->speed;
+            ++count;
+        }
+    }
+    if (count == 0) {
+        return;
+    }
+    const double speed = sum / count;
+    worker.speed += workerWeight * (speed - worker.speed);
+    state.meanSpeed += cellWeight * (speed - state.meanSpeed);
+    if (!isSlow(state, worker.speed)) {
+        return;
+    }
+    worker.record.avoidedUntil = std::max(worker.record.avoidedUntil, now.uptime + avoidance);
+    std::size_t moved = 0;
+    for (const reported_percent &entry : reported) {
+        if (shouldMove(state, *entry.run)) {
+            requestStop(state, *entry.run);
+            ++moved;
+        }
+    }
+    log_event("worker_slow", log_level::Warning)
+        .with("worker", worker.id)
+        .with("speed", worker.speed)
+        .with("mean_speed", state.meanSpeed)
+        .with("runs", worker.runs.size())
+        .with("moved", moved);
+}
+
+} // namespace sesamespar
--- a/test/correctness/cell_placement.cpp
+++ b/test/correctness/cell_placement.cpp
@@ -4,6 +4,7 @@
 #include "term/job_placement.h"
 #include "term/run_lifecycle.h"
 #include "term/worker_reports.h"
+#include "term/worker_speed.h"
 
 #include <catch2/catch.hpp>
 
@@ -245,3 +246,59 @@
     CHECK_FALSE(decodeProgress(R"({"state":"running","tasks":[[1,9,1,"w",1,0,""]]})"));
     CHECK_FALSE(decodeAcceptedJob(job.accepted.key, R"({"steps":[]})"));
 }
+
+TEST_CASE("a task that failed on a worker is placed on another one")
+{
+    // A worker that failed all that it started once used up all attempts of a job, since it had the best place.
+    cell_state state;
+    addWorker(state, "a", 2);
+    addWorker(state, "b", 16);
+    cell_job &job = addShape(state, {"job", 0, 1, 1, 1000});
+    placeWaiting(state, noAdvice, at(0));
+    REQUIRE(job.progress.tasks[0].worker == worker_id("a"));
+    endRun(state, *job.runs[0], run_end::Failed, {}, at(10));
+    placeWaiting(state, noAdvice, at(10));
+    CHECK(job.progress.tasks[0].worker == worker_id("b"));
+}
+
+TEST_CASE("a run on a worker that stands still is moved, one on a worker like all others is not")
+{
+    // Tasks on hung workers once waited until the worker went on, far beyond the objective of quick jobs.
+    cell_state state;
+    addWorker(state, "a", 1);
+    addWorker(state, "b", 1);
+    cell_job &first = addShape(state, {"first", 0, 1, 1, 2000});
+    cell_job &second = addShape(state, {"second", 0, 1, 1, 2000});
+    placeWaiting(state, noAdvice, at(0));
+    REQUIRE(first.runs[0] != nullptr);
+    REQUIRE(second.runs[0] != nullptr);
+    first.runs[0]->state = run_state::Running;
+    second.runs[0]->state = run_state::Running;
+    for (int report = 0; report <= 3; ++report) {
+        judgeSpeed(state, *first.runs[0]->worker, {{first.runs[0], 10}}, at(report * 500));
+        judgeSpeed(state, *second.runs[0]->worker, {{second.runs[0], 10 + report * 20}}, at(report * 500));
+    }
+    CHECK(first.runs[0]->state == run_state::Stopping);
+    CHECK(second.runs[0]->state == run_state::Running);
+}
+
+TEST_CASE("estimates that are too short by the same factor everywhere move nothing")
+{
+    cell_state state;
+    std::vector<cell_job *> jobs;
+    for (int number = 0; number < 8; ++number) {
+        addWorker(state, "w" + std::to_string(number), 1);
+        jobs.push_back(&addShape(state, {"job" + std::to_string(number), 0, 1, 1, 1000}));
+    }
+    placeWaiting(state, noAdvice, at(0));
+    state.meanSpeed = 0.4;
+    for (int report = 0; report <= 6; ++report) {
+        for (cell_job *job : jobs) {
+            job->runs[0]->state = run_state::Running;
+            judgeSpeed(state, *job->runs[0]->worker, {{job->runs[0], report * 13}}, at(report * 400));
+        }
+    }
+    for (const cell_job *job : jobs) {
+        CHECK(job->runs[0]->state == run_state::Running);
+    }
+}
--- a/test/error/platform_input.cpp
+++ b/test/error/platform_input.cpp
@@ -115,6 +115,7 @@
     REQUIRE(report.value().running.size() == 1);
     CHECK(report.value().running.front().task == run_task{job_key("5c0e7a21d94b36f8"), 1, 17});
     CHECK(report.value().running.front().checkpoint == "00aa");
+    CHECK(report.value().running.front().percent == 41);
     REQUIRE(report.value().ended.size() == 1);
     CHECK(report.value().ended.front().how == run_end::Done);
     // A row that cannot be read may be any run, so that nothing is missing for certain.
