--- a/packages/connection/cell_codec.cpp
+++ b/packages/connection/cell_codec.cpp
@@ -11,7 +11,8 @@
 
 using json_writer = rapidjson::Writer<rapidjson::StringBuffer>;
 
-constexpr const char *phaseNames[] = {"queued", "running", "completed", "failed", "cancelled"};
+constexpr job_phase phases[] = {
+    job_phase::Queued, job_phase::Running, job_phase::Completed, job_phase::Failed, job_phase::Cancelled};
 
 void writeText(json_writer &writer, const char *key, const std::string &value)
 {
@@ -172,9 +173,9 @@
 result<job_phase> phaseOf(const json_object &object)
 {
     const std::string name = object.text("state");
-    for (std::size_t index = 0; index < std::size(phaseNames); ++index) {
-        if (name == phaseNames[index]) {
-            return static_cast<job_phase>(index);
+    for (const job_phase phase : phases) {
+        if (name == phaseName(phase)) {
+            return phase;
         }
     }
     return makeError(error_kind::InvalidInput, "job progress has the unknown state \"" + name + "\"");
@@ -230,7 +231,7 @@
     rapidjson::StringBuffer buffer;
     json_writer writer(buffer);
     writer.StartObject();
-    writeText(writer, "state", phaseNames[static_cast<std::size_t>(progress.phase)]);
+    writeText(writer, "state", phaseName(progress.phase));
     if (isFinal(progress.phase)) {
         writeNumber(writer, "ended", progress.ended.value);
     } else {
--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -264,11 +264,9 @@
         return;
     }
     const auto &asked = std::get<hand_question>(message);
-    // The advisor serves this daemon's questions in turn, so the limit covers those ahead as well.
-    constexpr milliseconds longestTurn{3000};
     daemon.context.advice.ask(
         asked.question,
-        longestTurn,
+        asked.limit,
         [&daemon, to = asked.answerTo, correlation = asked.correlation](result<advice_answer> answer) {
             hand_answer reply;
             reply.correlation = correlation;
--- a/packages/process/cell_election.cpp
+++ b/packages/process/cell_election.cpp
@@ -3,16 +3,17 @@
 #include "base/log.h"
 #include "process/cell_keys.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace sesamespar {
 
 namespace {
 
-/// Life of the leader's key without renewal. A leader that dies is missed after this time; the store answers within
-/// 0.3 s when it is slow, which leaves room for two tries.
-constexpr milliseconds leaseLength{1500};
-constexpr milliseconds renewPeriod{400};
+/// Life of the leader's key without renewal, unless the store asks for a longer one. A leader that dies is missed
+/// after this time. One whose lease lapses while it lives, as when the store is slow, claims its key again.
+constexpr milliseconds leaseLength{1000};
+constexpr milliseconds renewPeriod{300};
 constexpr milliseconds renewLimit{400};
 constexpr milliseconds renewRetry{100};
 constexpr milliseconds electionLimit{800};
@@ -145,7 +146,8 @@
         return;
     }
     election->campaigning = true;
-    election->context.store.openLease(leaseLength, electionLimit, [election](result<granted_lease> lease) {
+    const milliseconds length = std::max(leaseLength, election->context.settings.limits.shortestStoreLease);
+    election->context.store.openLease(length, electionLimit, [election](result<granted_lease> lease) {
         post(election->context.box,
              [election, lease = std::move(lease)](const clock_reading &now) { takeLease(election, lease, now); });
     });
@@ -193,7 +195,6 @@
 {
     election.leaderPresent = item.revision.value != 0;
     if (election.leaderPresent) {
-        election.leaderName = item.value.substr(0, item.value.find(' '));
         unsubscribe(election.campaignTimer);
     } else if (election.known) {
         scheduleCampaign(election, campaignPause(election), now);
--- a/packages/process/cell_election.h
+++ b/packages/process/cell_election.h
@@ -30,7 +30,6 @@
 
     bool known = false; ///< The keys were listed.
     bool leaderPresent = false;
-    std::string leaderName;
     store_revision termRevision;
     bool withdrawn = false; ///< This daemon stops.
 
--- a/packages/process/cell_ports.h
+++ b/packages/process/cell_ports.h
@@ -15,6 +15,7 @@
 struct cell_limits {
     milliseconds longestLease{6000}; ///< Longest lease that a worker grants to what runs on it.
     std::chrono::seconds keepFinished{120}; ///< How long the state of a finished job is kept.
+    milliseconds shortestStoreLease{1000}; ///< Shortest lease that the store grants.
     milliseconds drainTime{2000}; ///< How long a daemon serves on after it was told to stop.
 };
 
--- a/packages/process/store_mirror.cpp
+++ b/packages/process/store_mirror.cpp
@@ -37,7 +37,6 @@
     bool stopped = false;
     bool lost = false; ///< The last call had no answer.
     timer next;
-    time_point answeredAt;
     time_point listedAt;
     store_revision revision; ///< All changes up to here are known.
     std::map<std::string, store_revision> known;
@@ -86,9 +85,8 @@
     }
 }
 
-void noteAnswer(store_mirror &mirror, const clock_reading &now)
+void noteAnswer(store_mirror &mirror)
 {
-    mirror.answeredAt = now.uptime;
     if (mirror.lost) {
         mirror.lost = false;
         log_event("store_regained").with("prefix", mirror.prefix);
@@ -135,7 +133,7 @@
         schedule(mirror, now.monotonic + retryPause, listAll);
         return;
     }
-    noteAnswer(*mirror, now);
+    noteAnswer(*mirror);
     if (after.empty()) {
         mirror->listingFrom = page.value().storeRevision;
     }
@@ -176,7 +174,7 @@
         schedule(mirror, now.monotonic + retryPause, listAll);
         return;
     }
-    noteAnswer(*mirror, now);
+    noteAnswer(*mirror);
     for (const store_item &item : page.value().items) {
         takeItem(*mirror, item, now);
     }
@@ -236,9 +234,4 @@
             }};
 }
 
-time_point lastAnswered(const store_mirror &mirror)
-{
-    return mirror.answeredAt;
-}
-
 } // namespace sesamespar
--- a/packages/process/store_mirror.h
+++ b/packages/process/store_mirror.h
@@ -36,7 +36,4 @@
 /// A handle that ends the following when it is dropped.
 std::shared_ptr<void> untilDropped(std::shared_ptr<store_mirror> mirror);
 
-/// When the store last answered a call of this follower, in uptime.
-time_point lastAnswered(const store_mirror &mirror);
-
 } // namespace sesamespar
--- a/packages/request/job_progress.h
+++ b/packages/request/job_progress.h
@@ -20,6 +20,9 @@
     Cancelled,
 };
 
+/// Name of a phase in the store, in logs and to callers: queued, running, completed, failed, cancelled.
+const char *phaseName(job_phase phase);
+
 /// True if the job needs no more work.
 bool isFinal(job_phase phase);
 
--- a/packages/term/run_lifecycle.cpp
+++ b/packages/term/run_lifecycle.cpp
@@ -32,11 +32,10 @@
         }
     }
     noteChange(state, job);
-    constexpr const char *names[] = {"queued", "running", "completed", "failed", "cancelled"};
     log_event("job_final")
         .with("job", job.accepted.key)
         .with("queue", job.accepted.policy.queue)
-        .with("state", names[static_cast<std::size_t>(phase)])
+        .with("state", phaseName(phase))
         .with("age_ms", now.utc.value - job.accepted.acceptedAt.value);
 }
 
--- a/test/error/platform_input.cpp
+++ b/test/error/platform_input.cpp
@@ -163,15 +163,17 @@
 
 TEST_CASE("the platform's settings are decoded, and missing ones are named")
 {
-    const std::string text = "node: n1\nip: 10.1.0.13\nzone: z\nlisten: {front: '10.1.0.13:1', ready: '10.1.0.13:2'}\n"
-                             "portRange: [7720, 7735]\nplatform: {address: '10.2.0.7:8'}\nadvice: '10.2.0.9:8'\n"
-                             "bounds: {maxHoldMs: 5000, status_s: 60, new_one: 3}\nunknown: {a: 1}\n";
+    const std::string text =
+        "node: n1\nip: 10.1.0.13\nzone: z\nlisten: {front: '10.1.0.13:1', ready: '10.1.0.13:2'}\n"
+        "portRange: [7720, 7735]\nplatform: {address: '10.2.0.7:8', ttlMinMs: 2000}\nadvice: '10.2.0.9:8'\n"
+        "bounds: {maxHoldMs: 5000, status_s: 60, new_one: 3}\nunknown: {a: 1}\n";
     const auto settings = parsePlatformSettings(text);
     REQUIRE(settings);
     CHECK(settings.value().cell.name == daemon_id("n1"));
     CHECK(settings.value().cell.peerAddress == address("10.1.0.13:7720"));
     CHECK(settings.value().cell.limits.longestLease == milliseconds(5000));
     CHECK(settings.value().cell.limits.keepFinished == std::chrono::seconds(60));
+    CHECK(settings.value().cell.limits.shortestStoreLease == milliseconds(2000));
     CHECK(settings.value().workersAreCalled);
     CHECK(parsePlatformSettings("node: n1").error().message.find("portRange") != std::string::npos);
     CHECK_FALSE(parsePlatformSettings("[1]"));
