--- a/test/correctness/cell_placement.cpp
+++ b/test/correctness/cell_placement.cpp
@@ -275,8 +275,9 @@
     first.runs[0]->state = run_state::Running;
     second.runs[0]->state = run_state::Running;
     for (int report = 0; report <= 3; ++report) {
-        judgeSpeed(state, *first.runs[0]->worker, {{first.runs[0], 10}}, at(report * 500));
-        judgeSpeed(state, *second.runs[0]->worker, {{second.runs[0], 10 + report * 20}}, at(report * 500));
+        judgeSpeed(state, *first.runs[0]->worker, {{first.runs[0], 10}}, at(std::int64_t{500} * report));
+        judgeSpeed(
+            state, *second.runs[0]->worker, {{second.runs[0], 10 + report * 20}}, at(std::int64_t{500} * report));
     }
     CHECK(first.runs[0]->state == run_state::Stopping);
     CHECK(second.runs[0]->state == run_state::Running);
@@ -295,7 +296,7 @@
     for (int report = 0; report <= 6; ++report) {
         for (cell_job *job : jobs) {
             job->runs[0]->state = run_state::Running;
-            judgeSpeed(state, *job->runs[0]->worker, {{job->runs[0], report * 13}}, at(report * 400));
+            judgeSpeed(state, *job->runs[0]->worker, {{job->runs[0], report * 13}}, at(std::int64_t{400} * report));
         }
     }
     for (const cell_job *job : jobs) {
--- a/test/error/platform_input.cpp
+++ b/test/error/platform_input.cpp
@@ -90,8 +90,8 @@
         return job ? std::string() : job.error().message;
     };
     CHECK(problemOf(R"({"spec":"x","steps":[{"count":2,"cpu":500,"memMb":16,"estimateMs":900}]})").empty());
-    CHECK(problemOf("{") != "");
-    CHECK(problemOf("[]") != "");
+    CHECK_FALSE(problemOf("{").empty());
+    CHECK_FALSE(problemOf("[]").empty());
     CHECK(problemOf(R"({"spec":"x"})").find("steps") != std::string::npos);
     CHECK(problemOf(R"({"steps":[{"count":0,"cpu":500}]})").find("steps[0].count") != std::string::npos);
     CHECK(problemOf(R"({"steps":[{"count":4000000000,"cpu":500}]})").find("steps[0].count") != std::string::npos);
--- a/test/fuzz/cell_model.cpp
+++ b/test/fuzz/cell_model.cpp
@@ -181,7 +181,8 @@
     for (std::uint64_t seed = first; seed < first + cases; ++seed) {
         INFO("seed " << seed);
         const std::vector<std::string> broken = play(seed);
-        CHECK(broken == std::vector<std::string>());
+        CAPTURE(broken);
+        CHECK(broken.empty());
         if (!broken.empty()) {
             break;
         }
