--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -23,8 +23,8 @@
 /// Retry-After while the store cannot be reached. Outages last 4 to 9 s and callers come again four times, so that
 /// with 1 s their tries are used up before it is back.
 constexpr milliseconds storeRetryAfter{2000};
-/// A draining daemon ends when no request was open for this long.
-constexpr milliseconds quietBeforeEnd{300};
+/// Period in which a draining daemon looks whether its time is over and no request is open.
+constexpr milliseconds drainCheckPeriod{300};
 
 void keepRegistered(cell_daemon &daemon, const clock_reading &now);
 
@@ -220,7 +220,7 @@
         daemon.over = true;
         return;
     }
-    subscribe(daemon.context.timers, daemon.drainTimer, now.monotonic + quietBeforeEnd);
+    subscribe(daemon.context.timers, daemon.drainTimer, now.monotonic + drainCheckPeriod);
 }
 
 } // namespace
@@ -327,7 +327,6 @@
     }
     log_event("draining").with("daemon", daemon.context.settings.name).with("leading", daemon.leader != nullptr);
     daemon.draining = true;
-    daemon.ready = false;
     daemon.drainSince = now.uptime;
     withdraw(*daemon.election);
     if (daemon.registration.value != 0) {
