--- a/packages/base/log.h
+++ b/packages/base/log.h
@@ -1,6 +1,7 @@
 // Structured logs: one line of key=value pairs for each event, written through glog or to standard output.
 #pragma once
 
+#include <cstdint>
 #include <sstream>
 #include <string>
 
@@ -13,6 +14,12 @@
     Error,
 };
 
+/// True for 1, 2, 4, 8...: bounds the log lines about events that may come in floods, counted from 1.
+constexpr bool isLogged(std::uint64_t count)
+{
+    return (count & (count - 1)) == 0;
+}
+
 /// Starts to write log lines to standard output from a thread of their own. Lines that the reader of the output does
 /// not take in time are left out and counted, so that no other thread waits. Without it, lines go through glog.
 void startLogWriter();
--- a/packages/process/mailbox.cpp
+++ b/packages/base/mailbox.cpp
@@ -1,4 +1,4 @@
-#include "process/mailbox.h"
+#include "base/mailbox.h"
 
 namespace sesamespar {
 
--- a/packages/process/mailbox.h
+++ b/packages/base/mailbox.h
@@ -3,12 +3,13 @@
 #pragma once
 
 #include "base/time.h"
-#include "process/timer_service.h"
+#include "base/timer_service.h"
 
 #include <condition_variable>
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <utility>
 
 namespace sesamespar {
 
@@ -32,6 +33,16 @@
 /// Posts a caller's request. False, with nothing posted, if too many wait.
 bool postRequest(mailbox &box, control_task task);
 
+/// Makes a callback for traffic threads that posts the answer it gets; the control thread then calls
+/// `take(answer, now)`. `take` is called as often as the callback is.
+template<typename Take>
+auto onControlThread(mailbox &box, Take take)
+{
+    return [&box, take = std::move(take)](auto answer) {
+        post(box, [take, answer = std::move(answer)](const clock_reading &now) { take(answer, now); });
+    };
+}
+
 /// Runs tasks and timers until `over` is set by one of them. After each batch of tasks, `settle` runs once.
 void runMailbox(mailbox &box, timer_service &timers, const bool &over, const control_task &settle);
 
--- a/packages/process/timer_service.cpp
+++ b/packages/base/timer_service.cpp
@@ -1,4 +1,4 @@
-#include "process/timer_service.h"
+#include "base/timer_service.h"
 
 namespace sesamespar {
 
--- a/platform/base64.cpp
+++ b/packages/connection/base64.cpp
@@ -1,8 +1,8 @@
-#include "platform/base64.h"
+#include "connection/base64.h"
 
 #include <openssl/evp.h>
 
-namespace sesamespar::platform {
+namespace sesamespar {
 
 namespace {
 
@@ -43,4 +43,4 @@
     return bytes;
 }
 
-} // namespace sesamespar::platform
+} // namespace sesamespar
--- a/platform/base64.h
+++ b/packages/connection/base64.h
@@ -1,15 +1,16 @@
-// Standard base64 with padding, in which the platform's store holds values.
+// Standard base64 with padding (RFC 4648), in which values of the store are written as text.
 #pragma once
 
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace sesamespar::platform {
+namespace sesamespar {
 
+/// Text of any bytes.
 std::string encodeBase64(std::string_view bytes);
 
 /// Nothing if the text is not base64.
 std::optional<std::string> decodeBase64(std::string_view text);
 
-} // namespace sesamespar::platform
+} // namespace sesamespar
--- a/packages/connection/caller_port.h
+++ b/packages/connection/caller_port.h
@@ -40,7 +40,7 @@
 struct job_accepted {
 };
 /// The state of a job.
-struct job_state {
+struct job_status {
     job_phase phase = job_phase::Queued;
 };
 /// The job is cancelled.
@@ -72,7 +72,7 @@
 
 /// Any answer.
 using caller_answer = std::variant<job_accepted,
-                                   job_state,
+                                   job_status,
                                    job_cancelled,
                                    queue_count,
                                    no_such_queue,
--- a/packages/process/cell_ports.h
+++ b/packages/connection/cell_context.h
@@ -1,13 +1,14 @@
 // All that a daemon of a cell meets the outside with, and what it is told about itself.
 #pragma once
 
+#include "base/mailbox.h"
+#include "base/metrics.h"
 #include "connection/advice_port.h"
+#include "connection/cell_metrics.h"
 #include "connection/discovery_port.h"
 #include "connection/hand_message.h"
 #include "connection/store_port.h"
 #include "connection/worker_port.h"
-#include "process/mailbox.h"
-#include "process/metrics.h"
 
 namespace sesamespar {
 
@@ -42,4 +43,17 @@
     incarnation_id incarnation; ///< Tells this process from an earlier one of the same name.
 };
 
+/// As onControlThread of the mailbox, and notes in the histogram of that name how long the call took.
+template<typename Take>
+auto timedOnControlThread(cell_context &context, std::string_view histogram, Take take)
+{
+    const time_point began = std::chrono::steady_clock::now();
+    return onControlThread(
+        context.box,
+        [&context, histogram, began, take = std::move(take)](const auto &answer, const clock_reading &now) {
+            noteTime(*context.counters, histogram, std::chrono::steady_clock::now() - began);
+            take(answer, now);
+        });
+}
+
 } // namespace sesamespar
--- /dev/null
+++ b/packages/connection/event.cpp
@@ -0,0 +1,1 @@
+#include "connection/event.h"
--- a/packages/connection/http_requests.cpp
+++ b/packages/connection/http_requests.cpp
@@ -175,7 +175,7 @@
     call->deadline.cancel();
 }
 
-web::http::http_request makeRequest(const pending_ref &call, const http_request_parts &parts)
+web::http::http_request makeRequest(const pending_ref &call, const outgoing_request &parts)
 {
     web::http::http_request request(parts.method);
     request.set_request_uri(parts.target);
@@ -237,7 +237,7 @@
     return found->second->client;
 }
 
-void send(const pending_ref &call, http_client &client, const http_request_parts &parts, milliseconds limit)
+void send(const pending_ref &call, http_client &client, const outgoing_request &parts, milliseconds limit)
 {
     ++call->pool.counters.calls;
     call->pool.counters.bytesSent += parts.body.size();
@@ -255,7 +255,7 @@
 }
 
 void sendHttp(
-    http_requests &requests, const address &to, const http_request_parts &parts, milliseconds limit, http_done done)
+    http_requests &requests, const address &to, const outgoing_request &parts, milliseconds limit, http_done done)
 {
     const auto call = std::make_shared<pending_call>(requests, to, std::move(done));
     try {
--- a/packages/connection/http_requests.h
+++ b/packages/connection/http_requests.h
@@ -23,7 +23,7 @@
 };
 
 /// One request. The body is JSON; it is not sent if it is empty.
-struct http_request_parts {
+struct outgoing_request {
     std::string method;
     std::string target; ///< Path with its query, percent-encoded.
     std::string body;
@@ -53,7 +53,7 @@
 
 /// Sends a request. The limit covers the whole call.
 void sendHttp(
-    http_requests &requests, const address &to, const http_request_parts &parts, milliseconds limit, http_done done);
+    http_requests &requests, const address &to, const outgoing_request &parts, milliseconds limit, http_done done);
 
 /// Traffic of all calls.
 call_traffic httpTraffic(const http_requests &requests);
--- a/packages/connection/packet_links.cpp
+++ b/packages/connection/packet_links.cpp
@@ -47,12 +47,6 @@
 
 namespace {
 
-/// True for 1, 2, 4, 8...: bounds the log lines about events that may come in floods.
-bool isLogged(std::uint64_t count)
-{
-    return (count & (count - 1)) == 0;
-}
-
 void handlePacket(packet_links &links, nng_msg *raw)
 {
     links.bytesReceived += nng_msg_len(raw);
--- a/packages/connection/packet_links.h
+++ b/packages/connection/packet_links.h
@@ -26,7 +26,7 @@
     std::uint64_t bytesSent = 0;
     std::uint64_t bytesReceived = 0;
     std::uint64_t packetsSent = 0;
-    std::uint64_t packetsDropped = 0;
+    std::uint64_t packetsDropped = 0; ///< Too large, or their link was full or closed.
 };
 
 /// Listens at an address; port 0 lets the kernel choose.
@@ -41,6 +41,7 @@
 /// Sends a packet without waiting. False, with a log line now and then, if it was dropped at once.
 bool sendPacket(packet_links &links, const address &to, std::string_view bytes);
 
+/// Traffic over all links so far.
 packet_traffic packetTraffic(const packet_links &links);
 
 /// Ends all links; the sink is not called any more.
--- a/packages/connection/peer_links.cpp
+++ b/packages/connection/peer_links.cpp
@@ -2,7 +2,6 @@
 
 #include "base/log.h"
 #include "connection/codec.h"
-#include "connection/packet_links.h"
 
 #include <atomic>
 #include <unordered_map>
@@ -21,12 +20,6 @@
 
 namespace {
 
-/// True for 1, 2, 4, 8...: bounds the log lines about events that may come in floods.
-bool isLogged(std::uint64_t count)
-{
-    return (count & (count - 1)) == 0;
-}
-
 void countDrop(peer_links &links, const daemon_id &peer, const char *reason)
 {
     const std::uint64_t dropped = ++links.dropped;
@@ -99,14 +92,11 @@
 
 peer_traffic peerTraffic(const peer_links &links)
 {
-    const packet_traffic packets = packetTraffic(*links.packets);
     peer_traffic traffic;
-    traffic.bytesSent = packets.bytesSent;
-    traffic.bytesReceived = packets.bytesReceived;
-    traffic.messagesSent = packets.packetsSent;
+    traffic.packets = packetTraffic(*links.packets);
     traffic.messagesReceived = *links.received;
-    traffic.messagesDropped = links.dropped + packets.packetsDropped;
     traffic.messagesMalformed = *links.malformed;
+    traffic.messagesDropped = links.dropped + traffic.packets.packetsDropped;
     return traffic;
 }
 
--- a/packages/connection/peer_links.h
+++ b/packages/connection/peer_links.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/result.h"
+#include "connection/packet_links.h"
 #include "connection/peer_message.h"
 #include "version/daemon_settings.h"
 
@@ -17,14 +18,12 @@
 /// The running links.
 struct peer_links;
 
-/// Bytes and messages that went over all links, and messages dropped because a link was full.
+/// What went over all links. Each message is a packet.
 struct peer_traffic {
-    std::uint64_t bytesSent = 0;
-    std::uint64_t bytesReceived = 0;
-    std::uint64_t messagesSent = 0;
-    std::uint64_t messagesReceived = 0;
-    std::uint64_t messagesDropped = 0;
+    packet_traffic packets;
+    std::uint64_t messagesReceived = 0; ///< Well-formed ones.
     std::uint64_t messagesMalformed = 0;
+    std::uint64_t messagesDropped = 0; ///< Before or at their link.
 };
 
 /// Listens on settings.peerAddress and dials all peers in the background; unreachable ones are dialled
--- a/packages/connection/store_codec.cpp
+++ b/packages/connection/store_codec.cpp
@@ -1,7 +1,7 @@
+#include "connection/base64.h"
 #include "connection/codec.h"
 #include "connection/json_value.h"
 
-#include <cpprest/asyncrt_utils.h>
 #include <cpprest/base_uri.h>
 
 #include <charconv>
@@ -42,19 +42,13 @@
 const std::string keysPath = "/v1/keys";
 const std::string vmsPath = "/v1/vms";
 
-std::string toBase64(const std::string &bytes)
+result<std::string> readValue(const std::string &text)
 {
-    return utility::conversions::to_base64(std::vector<unsigned char>(bytes.begin(), bytes.end()));
-}
-
-result<std::string> fromBase64(const std::string &text)
-{
-    try {
-        const std::vector<unsigned char> bytes = utility::conversions::from_base64(text);
-        return std::string(bytes.begin(), bytes.end());
-    } catch (const std::exception &) {
+    auto bytes = decodeBase64(text);
+    if (!bytes) {
         return makeError(error_kind::InvalidInput, "value: must be base64");
     }
+    return std::move(*bytes);
 }
 
 std::string keyTarget(const std::string &key)
@@ -71,7 +65,7 @@
 {
     return {"PUT",
             keyTarget(request.key) + "?expected=" + std::to_string(request.expected.value),
-            encodeJson(encoded_store_content{toBase64(request.value)})};
+            encodeJson(encoded_store_content{encodeBase64(request.value)})};
 }
 
 store_http_call encodeCall(const store_watch &request)
@@ -97,7 +91,7 @@
 
 std::string encodeReply(const store_value &reply)
 {
-    return encodeJson(encoded_store_value{toBase64(reply.value), reply.revision});
+    return encodeJson(encoded_store_value{encodeBase64(reply.value), reply.revision});
 }
 
 template<typename Reply>
@@ -135,7 +129,7 @@
     if (!content) {
         return content.error();
     }
-    auto bytes = fromBase64(content.value().value);
+    auto bytes = readValue(content.value().value);
     if (!bytes) {
         return bytes.error();
     }
@@ -185,7 +179,7 @@
     if (!encoded) {
         return encoded.error();
     }
-    auto bytes = fromBase64(encoded.value().value);
+    auto bytes = readValue(encoded.value().value);
     if (!bytes) {
         return bytes.error();
     }
--- a/packages/process/store_mirror.cpp
+++ b/packages/connection/store_mirror.cpp
@@ -1,4 +1,4 @@
-#include "process/store_mirror.h"
+#include "connection/store_mirror.h"
 
 #include "base/log.h"
 
@@ -153,11 +153,14 @@
 
 void list(const std::shared_ptr<store_mirror> &mirror, const std::string &after)
 {
-    mirror->store.list(mirror->prefix, after, false, listLimit, [mirror, after](result<store_page> page) {
-        post(mirror->box, [mirror, after, page = std::move(page)](const clock_reading &now) {
+    mirror->store.list(
+        mirror->prefix,
+        after,
+        false,
+        listLimit,
+        onControlThread(mirror->box, [mirror, after](const result<store_page> &page, const clock_reading &now) {
             takeListPage(mirror, after, page, now);
-        });
-    });
+        }));
 }
 
 void takeWatch(const std::shared_ptr<store_mirror> &mirror, const result<store_page> &page, const clock_reading &now)
@@ -197,10 +200,13 @@
 void watch(const std::shared_ptr<store_mirror> &mirror)
 {
     mirror->store.watch(
-        mirror->prefix, mirror->revision, watchWait, watchWait + watchGrace, [mirror](result<store_page> page) {
-            post(mirror->box,
-                 [mirror, page = std::move(page)](const clock_reading &now) { takeWatch(mirror, page, now); });
-        });
+        mirror->prefix,
+        mirror->revision,
+        watchWait,
+        watchWait + watchGrace,
+        onControlThread(mirror->box, [mirror](const result<store_page> &page, const clock_reading &now) {
+            takeWatch(mirror, page, now);
+        }));
 }
 
 } // namespace
--- a/packages/process/store_mirror.h
+++ b/packages/connection/store_mirror.h
@@ -2,8 +2,8 @@
 // gone, or a watch may have missed something, it lists again and reports what has changed.
 #pragma once
 
+#include "base/mailbox.h"
 #include "connection/store_port.h"
-#include "process/mailbox.h"
 
 #include <functional>
 #include <map>
--- a/packages/process/archive.h
+++ b/packages/process/archive.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "base/backoff.h"
-#include "process/event.h"
+#include "connection/event.h"
 #include "request/job_record.h"
 #include "version/daemon_settings.h"
 
--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -2,9 +2,9 @@
 
 #include "base/log.h"
 #include "connection/cell_codec.h"
-#include "process/advice_desk.h"
-#include "process/cell_keys.h"
+#include "connection/cell_keys.h"
 #include "process/job_queries.h"
+#include "term/advice_desk.h"
 
 #include <algorithm>
 
@@ -16,6 +16,8 @@
 constexpr milliseconds registrationLength{5000};
 constexpr milliseconds registrationPeriod{1500};
 constexpr milliseconds storeLimit{1000};
+/// Limit of a renewal, after which the store counts as suspect. It takes 4 ms, or 60 times as long while it is slow.
+constexpr milliseconds renewalLimit{600};
 /// Pause between two watches of the cell's keys.
 constexpr milliseconds cellWatchPause{60};
 /// Retry-After before the first configuration has arrived.
@@ -34,34 +36,48 @@
     store_transaction transaction;
     transaction.writes.push_back(
         {cell_keys::daemonPrefix + settings.name.value, settings.peerAddress.value, daemon.registration});
-    daemon.context.store.commit(transaction, storeLimit, [&daemon](result<store_commit> commit) {
-        post(daemon.context.box, [&daemon, applied = commit && commit.value().applied](const clock_reading &) {
-            if (!applied) {
+    daemon.context.store.commit(
+        transaction,
+        storeLimit,
+        onControlThread(daemon.context.box, [&daemon](const result<store_commit> &commit, const clock_reading &) {
+            if (!commit || !commit.value().applied) {
                 daemon.registration = store_lease(0);
             }
-        });
-    });
+        }));
 }
 
 void openRegistration(cell_daemon &daemon)
 {
-    daemon.context.store.openLease(registrationLength, storeLimit, [&daemon](result<granted_lease> lease) {
-        if (lease) {
-            post(daemon.context.box, [&daemon, granted = lease.value()](const clock_reading &) {
-                daemon.registration = granted.lease;
-                writeRegistration(daemon);
-            });
-        }
-    });
+    daemon.context.store.openLease(
+        registrationLength,
+        storeLimit,
+        timedOnControlThread(daemon.context,
+                             cell_metrics::leaseTime,
+                             [&daemon](const result<granted_lease> &lease, const clock_reading &) {
+                                 if (lease) {
+                                     daemon.registration = lease.value().lease;
+                                     writeRegistration(daemon);
+                                 }
+                             }));
 }
 
 void renewRegistration(cell_daemon &daemon)
 {
-    daemon.context.store.renewLease(daemon.registration, storeLimit, [&daemon](result<granted_lease> lease) {
-        if (!lease && lease.error().kind == error_kind::NotFound) {
-            post(daemon.context.box, [&daemon](const clock_reading &) { daemon.registration = store_lease(0); });
-        }
-    });
+    daemon.context.store.renewLease(
+        daemon.registration,
+        renewalLimit,
+        timedOnControlThread(daemon.context,
+                             cell_metrics::leaseTime,
+                             [&daemon](const result<granted_lease> &lease, const clock_reading &) {
+                                 if (lease) {
+                                     return;
+                                 }
+                                 if (lease.error().kind == error_kind::NotFound) {
+                                     daemon.registration = store_lease(0);
+                                 } else {
+                                     suspectStore(daemon.intake);
+                                 }
+                             }));
 }
 
 void keepRegistered(cell_daemon &daemon, const clock_reading &now)
@@ -176,6 +192,16 @@
     return request.path.substr(queue.pathPrefix.size());
 }
 
+/// Counts a request as open until it is answered.
+caller_done countOpen(cell_daemon &daemon, caller_done done)
+{
+    ++daemon.openRequests;
+    return [&daemon, done = std::move(done)](const caller_answer &answer) {
+        --daemon.openRequests;
+        done(answer);
+    };
+}
+
 void submitJob(cell_daemon &daemon,
                const caller_request &request,
                const submit_call &call,
@@ -185,6 +211,7 @@
                const clock_reading &now)
 {
     if (!call.problem.empty()) {
+        addCount(*daemon.context.counters, cell_metrics::jobsMalformed);
         log_event("job_malformed", log_level::Warning).with("job", key).with("problem", call.problem);
         done(call_malformed{call.problem});
         return;
@@ -196,27 +223,21 @@
             .with("queue", queue.policy.queue)
             .with("pending", load->second.pending)
             .with("retry_after_ms", load->second.retryAfter.count());
-        addCount(*daemon.context.counters, "jobs_refused");
+        addCount(*daemon.context.counters, cell_metrics::jobsRefused);
         done(call_refused{"the queue is full", load->second.retryAfter});
         return;
     }
-    takeIn(*daemon.intake, {key, call.job, queue.policy, now.utc}, request.patience, std::move(done), now);
-}
-
-/// Counts a query as open until it is answered.
-caller_done countOpen(cell_daemon &daemon, caller_done done)
-{
-    ++daemon.openQueries;
-    return [&daemon, done = std::move(done)](const caller_answer &answer) {
-        --daemon.openQueries;
-        done(answer);
-    };
+    takeIn(*daemon.intake,
+           {key, call.job, queue.policy, now.utc},
+           request.patience,
+           countOpen(daemon, std::move(done)),
+           now);
 }
 
 void endIfQuiet(cell_daemon &daemon, const clock_reading &now)
 {
     const bool served = now.uptime >= daemon.drainSince + daemon.context.settings.limits.drainTime;
-    if (served && daemon.openQueries == 0 && daemon.intake->open == 0) {
+    if (served && daemon.openRequests == 0) {
         daemon.over = true;
         return;
     }
@@ -287,6 +308,7 @@
     }
     const queue_declaration *queue = findQueue(*daemon.configuration, request.host, request.path);
     if (queue == nullptr) {
+        addCount(*daemon.context.counters, cell_metrics::noQueue);
         log_event("no_such_queue")
             .with("host", request.host)
             .with("path", request.path)
@@ -307,6 +329,7 @@
     }
     const job_key key(rest);
     if (daemon.intake->storeLost) {
+        addCount(*daemon.context.counters, cell_metrics::storeLostRefusals);
         log_event("store_lost_refusal").with("job", key);
         done(call_refused{"the store cannot be reached", storeRetryAfter});
         return;
--- a/packages/process/cell_daemon.h
+++ b/packages/process/cell_daemon.h
@@ -4,8 +4,8 @@
 
 #include "connection/caller_port.h"
 #include "process/cell_election.h"
-#include "process/cell_leader.h"
 #include "process/job_intake.h"
+#include "term/cell_leader.h"
 
 #include <atomic>
 
@@ -33,7 +33,7 @@
     bool draining = false;
     time_point drainSince; ///< In uptime.
     timer drainTimer;
-    std::size_t openQueries = 0;
+    std::size_t openRequests = 0; ///< Callers' requests that are not answered yet.
     bool over = false; ///< The process may end.
     std::atomic<bool> ready = false; ///< Takes new connections.
 };
--- a/packages/process/cell_election.cpp
+++ b/packages/process/cell_election.cpp
@@ -1,7 +1,7 @@
 #include "process/cell_election.h"
 
 #include "base/log.h"
-#include "process/cell_keys.h"
+#include "connection/cell_keys.h"
 
 #include <algorithm>
 #include <functional>
@@ -119,10 +119,14 @@
     if (!election->leading) {
         transaction.writes.push_back({cell_keys::term, value, {}});
     }
-    election->context.store.commit(transaction, electionLimit, [election](result<store_commit> commit) {
-        post(election->context.box,
-             [election, commit = std::move(commit)](const clock_reading &now) { takeClaim(election, commit, now); });
-    });
+    election->context.store.commit(
+        transaction,
+        electionLimit,
+        timedOnControlThread(election->context,
+                             cell_metrics::claimTime,
+                             [election](const result<store_commit> &commit, const clock_reading &now) {
+                                 takeClaim(election, commit, now);
+                             }));
 }
 
 void takeLease(const std::shared_ptr<cell_election> &election,
@@ -147,10 +151,14 @@
     }
     election->campaigning = true;
     const milliseconds length = std::max(leaseLength, election->context.settings.limits.shortestStoreLease);
-    election->context.store.openLease(length, electionLimit, [election](result<granted_lease> lease) {
-        post(election->context.box,
-             [election, lease = std::move(lease)](const clock_reading &now) { takeLease(election, lease, now); });
-    });
+    election->context.store.openLease(
+        length,
+        electionLimit,
+        timedOnControlThread(election->context,
+                             cell_metrics::leaseTime,
+                             [election](const result<granted_lease> &lease, const clock_reading &now) {
+                                 takeLease(election, lease, now);
+                             }));
 }
 
 void takeRenewal(const std::shared_ptr<cell_election> &election,
@@ -176,10 +184,14 @@
         if (!self || !self->leading || self->withdrawn) {
             return;
         }
-        self->context.store.renewLease(self->lease, renewLimit, [self](result<granted_lease> renewed) {
-            post(self->context.box,
-                 [self, renewed = std::move(renewed)](const clock_reading &when) { takeRenewal(self, renewed, when); });
-        });
+        self->context.store.renewLease(
+            self->lease,
+            renewLimit,
+            timedOnControlThread(self->context,
+                                 cell_metrics::leaseTime,
+                                 [self](const result<granted_lease> &renewed, const clock_reading &when) {
+                                     takeRenewal(self, renewed, when);
+                                 }));
     };
     subscribe(election->context.timers, election->renewTimer, now.monotonic + pause);
 }
--- a/packages/process/cell_election.h
+++ b/packages/process/cell_election.h
@@ -2,8 +2,8 @@
 // campaign by compare-and-swap on the term's key. The revision of the winning write is the term's fencing token.
 #pragma once
 
-#include "process/cell_ports.h"
-#include "process/store_mirror.h"
+#include "connection/cell_context.h"
+#include "connection/store_mirror.h"
 
 #include <functional>
 #include <map>
--- a/packages/process/config_exchange.h
+++ b/packages/process/config_exchange.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "base/backoff.h"
+#include "connection/event.h"
 #include "connection/stored_configuration.h"
-#include "process/event.h"
 #include "version/configuration.h"
 #include "version/daemon_settings.h"
 
--- a/packages/process/daemon_report.cpp
+++ b/packages/process/daemon_report.cpp
@@ -265,6 +265,21 @@
     return jsonAnswer(200, body);
 }
 
+std::string waitMetric(work_kind kind)
+{
+    return "wait_ms{kind=\"" + std::string(workKindName(kind)) + "\"}";
+}
+
+metrics_ptr makeMeasurements()
+{
+    metrics_ptr measurements = makeMetrics();
+    declareTime(*measurements, "decision_ms");
+    for (const work_kind kind : allWorkKinds) {
+        declareTime(*measurements, waitMetric(kind));
+    }
+    return measurements;
+}
+
 text_answer renderMeasurements(const daemon_state &state, const clock_reading &)
 {
     addCounters(*state.measurements, state.leadership.counters);
--- a/packages/process/daemon_report.h
+++ b/packages/process/daemon_report.h
@@ -22,6 +22,12 @@
 /// queues, calls under way and counters.
 text_answer renderDump(const daemon_state &state, const clock_reading &now);
 
+/// Name of the histogram of the times that tasks of a kind waited from their job's acceptance to their start.
+std::string waitMetric(work_kind kind);
+
+/// Empty measurements, with all histograms.
+metrics_ptr makeMeasurements();
+
 /// The measurements as text lines.
 text_answer renderMeasurements(const daemon_state &state, const clock_reading &now);
 
--- a/packages/process/daemon_state.cpp
+++ b/packages/process/daemon_state.cpp
@@ -2,9 +2,9 @@
 
 #include "base/log.h"
 #include "process/daemon_report.h"
-#include "process/leader_requests.h"
-#include "process/leadership.h"
-#include "process/recovery.h"
+#include "term/leader_requests.h"
+#include "term/leadership.h"
+#include "term/recovery.h"
 
 #include <algorithm>
 
@@ -302,7 +302,7 @@
     state->requests = makeRouting(state->random);
     state->history = makeArchive(settings, state->random);
     state->leadership = makeLeader(settings, state->incarnation);
-    state->measurements = makeMetrics();
+    state->measurements = makeMeasurements();
     connectTimers(*state);
     armTimers(*state, now);
     return state;
@@ -336,7 +336,7 @@
     finishEvents(state.leadership, now, out);
     exchangeArchive(state, now);
     for (const wait_sample &sample : state.leadership.waits) {
-        noteWait(*state.measurements, sample.kind, sample.waited);
+        noteTime(*state.measurements, waitMetric(sample.kind), sample.waited);
     }
     state.leadership.waits.clear();
     armTimers(state, now);
--- a/packages/process/daemon_state.h
+++ b/packages/process/daemon_state.h
@@ -1,15 +1,15 @@
 // All control state of one daemon, and how events pass through its parts. Runs on the control thread.
 #pragma once
 
+#include "base/metrics.h"
+#include "base/timer_service.h"
+#include "connection/event.h"
 #include "process/archive.h"
 #include "process/config_exchange.h"
-#include "process/event.h"
-#include "process/leader.h"
 #include "process/membership.h"
-#include "process/metrics.h"
 #include "process/roster.h"
 #include "process/routing.h"
-#include "process/timer_service.h"
+#include "term/leader.h"
 
 #include <memory>
 #include <optional>
--- a/packages/process/event.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "process/event.h"
--- a/packages/process/job_intake.cpp
+++ b/packages/process/job_intake.cpp
@@ -2,7 +2,7 @@
 
 #include "base/log.h"
 #include "connection/cell_codec.h"
-#include "process/cell_keys.h"
+#include "connection/cell_keys.h"
 
 #include <algorithm>
 
@@ -32,6 +32,7 @@
             const incoming_job &job,
             const caller_answer &reply,
             const char *outcome,
+            std::string_view counter,
             const clock_reading &now)
 {
     const auto took = std::chrono::duration_cast<milliseconds>(now.uptime - job.arrivedAt);
@@ -41,8 +42,8 @@
         .with("outcome", outcome)
         .with("may_be_stored", job.mayBeStored)
         .with("took_ms", took.count());
-    noteRequest(*intake.context.counters, now.uptime - job.arrivedAt);
-    --intake.open;
+    addCount(*intake.context.counters, counter);
+    noteTime(*intake.context.counters, cell_metrics::requestTime, now.uptime - job.arrivedAt);
     job.done(reply);
 }
 
@@ -50,9 +51,10 @@
 void giveUp(job_intake &intake, const incoming_job &job, const clock_reading &now)
 {
     if (job.mayBeStored) {
-        answer(intake, job, outcome_unknown{"the store did not answer"}, "unknown", now);
+        answer(intake, job, outcome_unknown{"the store did not answer"}, "unknown", cell_metrics::jobsUnknown, now);
     } else {
-        answer(intake, job, call_refused{"the store cannot be reached", storeRetryAfter}, "refused", now);
+        const call_refused refusal{"the store cannot be reached", storeRetryAfter};
+        answer(intake, job, refusal, "refused", cell_metrics::jobsRefused, now);
     }
 }
 
@@ -85,10 +87,13 @@
         return;
     }
     intake->probing = true;
-    intake->context.store.read(cell_keys::term, probeLimit, [intake](result<store_item> item) {
-        post(intake->context.box,
-             [intake, item = std::move(item)](const clock_reading &now) { takeProbe(intake, item, now); });
-    });
+    intake->context.store.read(cell_keys::term,
+                               probeLimit,
+                               timedOnControlThread(intake->context,
+                                                    cell_metrics::readTime,
+                                                    [intake](const result<store_item> &item, const clock_reading &now) {
+                                                        takeProbe(intake, item, now);
+                                                    }));
 }
 
 bool isStored(const std::vector<store_item> &current, const job_key &key)
@@ -104,7 +109,7 @@
         const auto job = next++;
         if (isStored(current, job->job.key)) {
             // The caller, or this daemon, has handed it in before.
-            answer(intake, *job, job_accepted{}, "known", now);
+            answer(intake, *job, job_accepted{}, "known", cell_metrics::jobsKnown, now);
         } else {
             intake.waiting.splice(intake.waiting.end(), batch, job);
         }
@@ -120,7 +125,7 @@
     --intake.openCommits;
     if (!commit) {
         probeStore(shared);
-        addCount(*intake.context.counters, "intake_writes_failed");
+        addCount(*intake.context.counters, cell_metrics::intakeWritesFailed);
         const bool unknown =
             commit.error().kind == error_kind::Unknown || commit.error().kind == error_kind::InvalidInput;
         for (incoming_job &job : batch) {
@@ -135,7 +140,7 @@
         return;
     }
     for (const incoming_job &job : batch) {
-        answer(intake, job, job_accepted{}, "accepted", now);
+        answer(intake, job, job_accepted{}, "accepted", cell_metrics::jobsAccepted, now);
     }
 }
 
@@ -169,11 +174,14 @@
 {
     const auto batch = std::make_shared<job_batch>(takeBatch(*intake));
     ++intake->openCommits;
-    intake->context.store.commit(makeTransaction(*batch), commitLimit, [intake, batch](result<store_commit> commit) {
-        post(intake->context.box, [intake, batch, commit = std::move(commit)](const clock_reading &now) {
-            takeCommit(intake, *batch, commit, now);
-        });
-    });
+    intake->context.store.commit(
+        makeTransaction(*batch),
+        commitLimit,
+        timedOnControlThread(intake->context,
+                             cell_metrics::intakeTime,
+                             [intake, batch](const result<store_commit> &commit, const clock_reading &now) {
+                                 takeCommit(intake, *batch, commit, now);
+                             }));
 }
 
 void expire(job_intake &intake, const clock_reading &now)
@@ -193,7 +201,6 @@
 
 void takeIn(job_intake &intake, accepted_job job, milliseconds patience, caller_done done, const clock_reading &now)
 {
-    ++intake.open;
     intake.waiting.push_back({std::move(job),
                               std::move(done),
                               now.uptime,
@@ -201,6 +208,13 @@
                               false});
 }
 
+void suspectStore(const std::shared_ptr<job_intake> &intake)
+{
+    if (!intake->storeLost) {
+        probeStore(intake);
+    }
+}
+
 void settleIntake(const std::shared_ptr<job_intake> &intake, const clock_reading &now)
 {
     expire(*intake, now);
--- a/packages/process/job_intake.h
+++ b/packages/process/job_intake.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "connection/caller_port.h"
-#include "process/cell_ports.h"
+#include "connection/cell_context.h"
 #include "request/accepted_job.h"
 
 #include <list>
@@ -32,7 +32,6 @@
     unsigned openCommits = 0;
     timer retryTimer;
     time_point commitAfter; ///< In uptime; no transaction before, after a fault.
-    std::size_t open = 0; ///< Jobs that are not answered yet.
 
     bool storeLost = false; ///< Neither a transaction nor the probe after it was answered.
     bool probing = false;
@@ -42,6 +41,10 @@
 /// Takes a job in. It is stored with others of the same batch of events, or refused at once while the store is lost.
 void takeIn(job_intake &intake, accepted_job job, milliseconds patience, caller_done done, const clock_reading &now);
 
+/// Asks the store for a sign of life, after a call of another part got no answer. If there is none, jobs are refused
+/// at once until there is.
+void suspectStore(const std::shared_ptr<job_intake> &intake);
+
 /// Runs after each batch of events: sends transactions and answers jobs whose time is over.
 void settleIntake(const std::shared_ptr<job_intake> &intake, const clock_reading &now);
 
--- a/packages/process/job_queries.cpp
+++ b/packages/process/job_queries.cpp
@@ -2,7 +2,7 @@
 
 #include "base/log.h"
 #include "connection/cell_codec.h"
-#include "process/cell_keys.h"
+#include "connection/cell_keys.h"
 
 #include <algorithm>
 #include <memory>
@@ -78,15 +78,18 @@
              query_step again,
              void (*take)(const query_ptr &, const store_item &))
 {
-    query->context.store.read(key, callLimit, [query, again, take](result<store_item> item) {
-        post(query->context.box, [query, again, take, item = std::move(item)](const clock_reading &now) {
-            if (item) {
-                take(query, item.value());
-            } else {
-                repeat(query, item.error(), again, now);
-            }
-        });
-    });
+    query->context.store.read(
+        key,
+        callLimit,
+        timedOnControlThread(query->context,
+                             cell_metrics::readTime,
+                             [query, again, take](const result<store_item> &item, const clock_reading &now) {
+                                 if (item) {
+                                     take(query, item.value());
+                                 } else {
+                                     repeat(query, item.error(), again, now);
+                                 }
+                             }));
 }
 
 void readProgress(const query_ptr &query);
@@ -94,7 +97,7 @@
 void takeAccepted(const query_ptr &query, const store_item &item)
 {
     if (item.revision.value != 0) {
-        finish(*query, job_state{job_phase::Queued}, "queued");
+        finish(*query, job_status{job_phase::Queued}, "queued");
         return;
     }
     if (query->jobMissing) {
@@ -122,7 +125,7 @@
         finish(*query, outcome_unknown{phase.error().message}, "malformed");
         return;
     }
-    finish(*query, job_state{phase.value()}, "known");
+    finish(*query, job_status{phase.value()}, "known");
 }
 
 void readProgress(const query_ptr &query)
@@ -155,10 +158,14 @@
     store_transaction transaction;
     transaction.conditions.push_back({item.key, item.revision});
     transaction.writes.push_back({cell_keys::cancel(query->key), "{}", {}});
-    query->context.store.commit(transaction, callLimit, [query](result<store_commit> commit) {
-        post(query->context.box,
-             [query, commit = std::move(commit)](const clock_reading &now) { takeCancelWritten(query, commit, now); });
-    });
+    query->context.store.commit(
+        transaction,
+        callLimit,
+        timedOnControlThread(query->context,
+                             cell_metrics::cancelTime,
+                             [query](const result<store_commit> &commit, const clock_reading &now) {
+                                 takeCancelWritten(query, commit, now);
+                             }));
 }
 
 void readForCancel(const query_ptr &query)
--- a/packages/process/job_queries.h
+++ b/packages/process/job_queries.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "connection/caller_port.h"
-#include "process/cell_ports.h"
+#include "connection/cell_context.h"
 
 namespace sesamespar {
 
--- a/packages/process/membership.h
+++ b/packages/process/membership.h
@@ -2,7 +2,7 @@
 // what they have seen. It is a hint for routing and ranking; safety rests on the workers' control leases.
 #pragma once
 
-#include "process/event.h"
+#include "connection/event.h"
 #include "version/daemon_settings.h"
 
 #include <map>
--- a/packages/process/roster.h
+++ b/packages/process/roster.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/backoff.h"
-#include "process/event.h"
+#include "connection/event.h"
 #include "version/daemon_settings.h"
 
 #include <map>
--- a/packages/process/routing.h
+++ b/packages/process/routing.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "base/backoff.h"
-#include "process/event.h"
+#include "connection/event.h"
 #include "process/membership.h"
 #include "version/configuration.h"
 #include "version/daemon_settings.h"
--- a/packages/process/admission.cpp
+++ b/packages/term/admission.cpp
@@ -1,9 +1,9 @@
-#include "process/admission.h"
+#include "term/admission.h"
 
-#include "process/scheduler_state.h"
-#include "process/team_usage.h"
-#include "process/usage_learning.h"
-#include "process/wait_reason.h"
+#include "term/scheduler_state.h"
+#include "term/team_usage.h"
+#include "term/usage_learning.h"
+#include "term/wait_reason.h"
 
 #include <algorithm>
 
--- a/packages/process/admission.h
+++ b/packages/term/admission.h
@@ -2,7 +2,7 @@
 // full is told when to come back.
 #pragma once
 
-#include "process/scheduler.h"
+#include "term/scheduler.h"
 
 namespace sesamespar {
 
--- a/packages/process/advice_desk.cpp
+++ b/packages/term/advice_desk.cpp
@@ -1,4 +1,4 @@
-#include "process/advice_desk.h"
+#include "term/advice_desk.h"
 
 #include "base/log.h"
 #include "term/job_placement.h"
@@ -87,18 +87,20 @@
     const milliseconds limit = milliseconds(static_cast<std::int64_t>(hand->second.backlogMs)) + answerGrace;
     open.dueAt = now.uptime + limit;
     leader->questions.emplace(correlation, std::move(open));
-    addCount(*leader->context.counters, "advice_questions");
+    addCount(*leader->context.counters, cell_metrics::adviceQuestions);
     if (!hand->second.at.value.empty()) {
         leader->context.sendToPeer(
             hand->second.at,
             hand_question{correlation, leader->context.settings.peerAddress, limit, std::move(question)});
         return;
     }
-    leader->context.advice.ask(question, limit, [leader, correlation](result<advice_answer> answer) {
-        post(leader->context.box, [leader, correlation, answer = std::move(answer)](const clock_reading &when) {
-            takeHandAnswer(*leader, correlation, answer, when);
-        });
-    });
+    leader->context.advice.ask(
+        question,
+        limit,
+        onControlThread(leader->context.box,
+                        [leader, correlation](const result<advice_answer> &answer, const clock_reading &when) {
+                            takeHandAnswer(*leader, correlation, answer, when);
+                        }));
 }
 
 void takeHandAnswer(cell_leader &leader,
@@ -113,7 +115,9 @@
     const open_question open = entry->second;
     closeQuestion(leader, entry);
     leader.placementDue = true;
+    noteTime(*leader.context.counters, cell_metrics::adviceTime, now.uptime - open.sentAt);
     if (!answer) {
+        addCount(*leader.context.counters, cell_metrics::adviceFailed);
         log_event("advice_failed", log_level::Warning)
             .with("job", open.question.step.job)
             .with("step", open.question.step.step)
@@ -147,6 +151,7 @@
         if (hand != leader.hands.end() && !hand->second.at.value.empty()) {
             hand->second.avoidedUntil = now.uptime + handPause;
         }
+        addCount(*leader.context.counters, cell_metrics::adviceOverdue);
         log_event("advice_overdue", log_level::Warning)
             .with("job", open.question.step.job)
             .with("step", open.question.step.step)
--- a/packages/process/advice_desk.h
+++ b/packages/term/advice_desk.h
@@ -2,7 +2,7 @@
 // leader spreads its questions over all daemons, by the time that those handed over before still need.
 #pragma once
 
-#include "process/cell_leader.h"
+#include "term/cell_leader.h"
 #include "term/job_placement.h"
 
 namespace sesamespar {
--- a/packages/process/capacity_hold.cpp
+++ b/packages/term/capacity_hold.cpp
@@ -1,6 +1,6 @@
-#include "process/capacity_hold.h"
+#include "term/capacity_hold.h"
 
-#include "process/scheduler_state.h"
+#include "term/scheduler_state.h"
 
 #include <algorithm>
 
--- a/packages/process/capacity_hold.h
+++ b/packages/term/capacity_hold.h
@@ -2,7 +2,7 @@
 // starves behind small tasks that always fit first. With a single hold two gangs cannot wait for each other.
 #pragma once
 
-#include "process/job_queue.h"
+#include "term/job_queue.h"
 
 namespace sesamespar {
 
--- a/packages/process/cell_leader.cpp
+++ b/packages/term/cell_leader.cpp
@@ -1,12 +1,12 @@
-#include "process/cell_leader.h"
+#include "term/cell_leader.h"
 
 #include "base/log.h"
-#include "process/advice_desk.h"
-#include "process/cell_recovery.h"
-#include "process/load_report.h"
-#include "process/progress_writer.h"
-#include "process/worker_sessions.h"
+#include "term/advice_desk.h"
+#include "term/cell_recovery.h"
 #include "term/job_placement.h"
+#include "term/load_report.h"
+#include "term/progress_writer.h"
+#include "term/worker_sessions.h"
 
 namespace sesamespar {
 
@@ -15,11 +15,21 @@
 /// Period of what a term looks after without an event: lapsed leases, unanswered questions, the load.
 constexpr milliseconds upkeepPeriod{100};
 
+/// Hands the waits that have ended since the last time to the measurements.
+void noteWaits(cell_leader &leader)
+{
+    for (const time_point::duration &wait : leader.state.waits) {
+        noteTime(*leader.context.counters, cell_metrics::waitTime, wait);
+    }
+    leader.state.waits.clear();
+}
+
 void keepUp(const std::shared_ptr<cell_leader> &leader, const clock_reading &now)
 {
     if (leader->ended) {
         return;
     }
+    noteWaits(*leader);
     endLapsedRuns(*leader, now);
     expireQuestions(*leader, now);
     reportLoad(leader, now);
@@ -40,7 +50,7 @@
     leader->provedAt = now.uptime;
     leader->stepDown = std::move(stepDown);
     log_event("term_begun").with("daemon", context.settings.name).with("fence", fence);
-    addCount(*context.counters, "terms_begun");
+    addCount(*context.counters, cell_metrics::termsBegun);
     leader->upkeepTimer.fire = [weak = std::weak_ptr(leader)](const clock_reading &when) {
         if (const auto self = weak.lock()) {
             keepUp(self, when);
@@ -57,6 +67,8 @@
         return;
     }
     leader.ended = true;
+    noteWaits(leader);
+    addCount(*leader.context.counters, cell_metrics::termsEnded);
     log_event("term_ended", log_level::Warning)
         .with("daemon", leader.context.settings.name)
         .with("fence", leader.fence)
@@ -77,9 +89,11 @@
     }
     if (leader->placementDue && leader->workersListed) {
         leader->placementDue = false;
-        const time_point begun = readClocks().monotonic;
+        const time_point begun = std::chrono::steady_clock::now();
         placement_outcome outcome = placeWaiting(leader->state, adviceCapacity(*leader, now), now);
-        noteDecision(*leader->context.counters, readClocks().monotonic - begun);
+        metrics &counters = *leader->context.counters;
+        noteTime(counters, cell_metrics::placementTime, std::chrono::steady_clock::now() - begun);
+        addCount(counters, cell_metrics::runsPlaced, outcome.placed.size());
         for (advice_question &question : outcome.questions) {
             askAdvice(leader, std::move(question), now);
         }
--- a/packages/process/cell_leader.h
+++ b/packages/term/cell_leader.h
@@ -3,8 +3,8 @@
 // daemon is told to stop, or with the process.
 #pragma once
 
-#include "process/cell_ports.h"
-#include "process/store_mirror.h"
+#include "connection/cell_context.h"
+#include "connection/store_mirror.h"
 #include "request/cell_load.h"
 #include "term/cell_state.h"
 #include "term/worker_reports.h"
--- a/packages/process/cell_recovery.cpp
+++ b/packages/term/cell_recovery.cpp
@@ -1,10 +1,10 @@
-#include "process/cell_recovery.h"
+#include "term/cell_recovery.h"
 
 #include "base/log.h"
 #include "connection/cell_codec.h"
-#include "process/cell_keys.h"
-#include "process/worker_sessions.h"
+#include "connection/cell_keys.h"
 #include "term/run_lifecycle.h"
+#include "term/worker_sessions.h"
 
 namespace sesamespar {
 
@@ -17,30 +17,16 @@
 /// Progress of finished jobs that is removed in one transaction.
 constexpr std::size_t sweepBatch = 20;
 
-/// Worker of a run that an earlier term placed. It may not be listed at present.
-cell_worker &workerOf(cell_leader &leader, const worker_id &id)
-{
-    auto &worker = leader.state.workers[id];
-    if (!worker) {
-        worker = std::make_unique<cell_worker>();
-        worker->id = id;
-        worker->heldUntil = leader.beganAt + longestForeignHold(leader);
-    }
-    return *worker;
-}
-
 /// Puts a run of an earlier term back on its worker.
 void restoreRun(cell_leader &leader, cell_job &job, task_position position, const clock_reading &now)
 {
-    const task_progress task = job.progress.tasks[position.value];
-    cell_worker &worker = workerOf(leader, task.worker);
+    const task_progress &task = job.progress.tasks[position.value];
+    // The worker may not be listed at present.
+    cell_worker &worker = knownWorker(leader, task.worker);
     if (task.birth > worker.birth) {
         beginLife(leader.state, worker, task.birth);
     }
-    const job_phase phase = job.progress.phase;
-    placed_run &run = placeRun(leader.state, job, position, task.run, worker, now);
-    job.progress.tasks[position.value] = task;
-    job.progress.phase = phase;
+    placed_run &run = reserveRun(job, position, task.run, worker, now);
     run.state = run_state::Running;
     run.sent = true;
     run.orderedAt = now.uptime;
@@ -86,8 +72,6 @@
             restoreRun(leader, *job, task_position(position), now);
         }
     }
-    // What was just read is in the store.
-    job->storedChanges = job->changes;
     leader.placementDue = true;
     log_event("job_known")
         .with("job", job->accepted.key)
@@ -157,6 +141,7 @@
         return;
     }
     leader->recovered = true;
+    noteTime(*leader->context.counters, cell_metrics::takeoverTime, now.uptime - leader->beganAt);
     leader->placementDue = true;
     log_event("cell_recovered")
         .with("jobs", leader->state.jobs.size())
@@ -242,11 +227,15 @@
 void listProgress(const std::shared_ptr<cell_leader> &leader, const std::string &after)
 {
     leader->context.store.list(
-        cell_keys::progressPrefix, after, false, listLimit, [leader, after](result<store_page> page) {
-            post(leader->context.box, [leader, after, page = std::move(page)](const clock_reading &now) {
-                takeProgressPage(leader, after, page, now);
-            });
-        });
+        cell_keys::progressPrefix,
+        after,
+        false,
+        listLimit,
+        timedOnControlThread(leader->context,
+                             cell_metrics::listTime,
+                             [leader, after](const result<store_page> &page, const clock_reading &now) {
+                                 takeProgressPage(leader, after, page, now);
+                             }));
 }
 
 } // namespace
--- a/packages/process/cell_recovery.h
+++ b/packages/term/cell_recovery.h
@@ -2,7 +2,7 @@
 // terms have placed. A run whose worker was not reached yet keeps its task from being placed again.
 #pragma once
 
-#include "process/cell_leader.h"
+#include "term/cell_leader.h"
 
 namespace sesamespar {
 
--- a/packages/term/cell_state.cpp
+++ b/packages/term/cell_state.cpp
@@ -42,7 +42,6 @@
         cell_step entry;
         entry.first = first;
         entry.count = step.count;
-        entry.estimate = step.estimate;
         first += step.count;
         job->steps.push_back(std::move(entry));
     }
@@ -66,6 +65,14 @@
     }
 }
 
+void noteBegun(cell_state &state, cell_job &job, const clock_reading &now)
+{
+    if (!job.begun) {
+        job.begun = true;
+        state.waits.emplace_back(milliseconds(now.utc.value - job.accepted.acceptedAt.value));
+    }
+}
+
 resources freeRoom(const cell_worker &worker)
 {
     return worker.capacity - worker.reserved;
--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -6,6 +6,7 @@
 #include "connection/worker_port.h"
 #include "request/accepted_job.h"
 #include "request/job_progress.h"
+#include "term/cell_policy.h"
 
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -98,7 +99,6 @@
     std::uint32_t count = 0;
     std::uint32_t done = 0;
     std::uint32_t placed = 0; ///< Tasks with a run that is not proved to be over.
-    milliseconds estimate{0}; ///< Of one task, corrected by what the queue's tasks took.
     bool asking = false; ///< A question to the advisor is under way.
     time_point askAgainAt; ///< In uptime; no question before.
     std::map<worker_id, worker_birth> asked; ///< Workers whose suitability is known, with the life asked about.
@@ -113,7 +113,7 @@
     std::vector<cell_step> steps;
     std::vector<placed_run *> runs; ///< By position; null if nothing is placed.
     bool cancelled = false; ///< The caller has cancelled it.
-    bool begun = false; ///< A worker is known to have begun one of its tasks.
+    bool begun = false; ///< A worker is known to have begun one of its tasks; see noteBegun.
 
     store_revision jobRevision; ///< Of the accepted job in the store; 0 once it was removed.
     store_revision progressRevision; ///< Of the progress in the store; 0 if none was written.
@@ -127,8 +127,7 @@
 
 /// How long the tasks of a queue took, to correct the callers' estimates.
 struct queue_history {
-    double ratio = 1.0; ///< Actual duration over the estimate, as a moving mean.
-    double meanMs = 0; ///< Of the actual durations, as a moving mean; 0 before the first.
+    double meanMs = 0; ///< Moving mean; 0 before the first.
 };
 
 /// An end of a run that the worker may forget once the job's change is stored.
@@ -140,6 +139,7 @@
 
 /// Everything the leader decides upon.
 struct cell_state {
+    cell_policy policy;
     std::map<worker_id, std::unique_ptr<cell_worker>> workers;
     std::unordered_map<job_key, cell_job_ptr> jobs; ///< Not final ones, and final ones with runs or unstored changes.
     std::map<worker_id, std::map<end_number, unstored_end>> ends;
@@ -147,6 +147,7 @@
     double meanSpeed = 1; ///< Moving mean over all workers, since estimates may be off in one direction.
     bool stopsRequested = false; ///< Some run is to be stopped and no stop was sent yet.
     std::vector<cell_job_ptr> changed; ///< Jobs whose progress has to be written, each once.
+    std::vector<time_point::duration> waits; ///< From acceptance to the first task begun, not measured yet.
 
     cell_state() = default;
     cell_state(const cell_state &) = delete;
@@ -169,6 +170,9 @@
 /// Notes that a job's progress has changed and has to be written.
 void noteChange(cell_state &state, cell_job &job);
 
+/// Notes that a worker has begun one of the job's tasks.
+void noteBegun(cell_state &state, cell_job &job, const clock_reading &now);
+
 /// The room that is left on a worker.
 resources freeRoom(const cell_worker &worker);
 
--- a/packages/process/fleet_index.cpp
+++ b/packages/term/fleet_index.cpp
@@ -1,4 +1,4 @@
-#include "process/fleet_index.h"
+#include "term/fleet_index.h"
 
 #include <algorithm>
 #include <bit>
--- a/packages/process/fleet_index.h
+++ b/packages/term/fleet_index.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "base/units.h"
-#include "process/scheduler.h"
+#include "term/scheduler.h"
 
 #include <array>
 #include <boost/intrusive/list.hpp>
@@ -15,14 +15,14 @@
 
 struct fleet_index;
 struct job_state;
-struct task_state;
+struct held_task;
 struct rack_state;
 
 using list_hook = boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
 using task_list_hook = boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
 
 /// A task that holds capacity on a worker.
-struct task_state {
+struct held_task {
     job_state *job = nullptr;
     task_index index;
     struct worker_state *worker = nullptr;
@@ -39,8 +39,8 @@
 };
 
 using worker_tasks =
-    boost::intrusive::list<task_state,
-                           boost::intrusive::member_hook<task_state, task_list_hook, &task_state::onWorker>,
+    boost::intrusive::list<held_task,
+                           boost::intrusive::member_hook<held_task, task_list_hook, &held_task::onWorker>,
                            boost::intrusive::constant_time_size<false>>;
 
 /// Failures of a worker since its last success.
--- a/packages/process/job_lifecycle.cpp
+++ b/packages/term/job_lifecycle.cpp
@@ -1,8 +1,8 @@
-#include "process/job_lifecycle.h"
+#include "term/job_lifecycle.h"
 
 #include "base/log.h"
-#include "process/journal.h"
-#include "process/task_commands.h"
+#include "term/journal.h"
+#include "term/task_commands.h"
 
 #include <algorithm>
 
@@ -99,7 +99,7 @@
 void makeWaiting(leader &state, job &subject, task_record &task, milliseconds delay, const clock_reading &now)
 {
     task.state = task_state::Waiting;
-    task_progress &progress = subject.progress.at(task.index.value);
+    task_notes &progress = subject.progress.at(task.index.value);
     progress = {};
     progress.waitingSince = now.monotonic;
     ++state.counters.tasksRestarted;
@@ -225,7 +225,7 @@
 void sendDurableStarts(leader &state, job &subject, const record_revision &durable, const clock_reading &now)
 {
     for (task_record &task : subject.record.tasks) {
-        task_progress &progress = subject.progress.at(task.index.value);
+        task_notes &progress = subject.progress.at(task.index.value);
         if (task.state != task_state::Claimed || progress.startQueued || durable < progress.claim) {
             continue;
         }
@@ -242,7 +242,7 @@
 void forgetEndedAttempts(leader &state, job &subject, time_point now)
 {
     for (const task_record &task : subject.record.tasks) {
-        task_progress &progress = subject.progress.at(task.index.value);
+        task_notes &progress = subject.progress.at(task.index.value);
         if (!progress.forgotten) {
             forgetLater(state, task.worker, attemptOf(subject.record, task), now);
         }
@@ -272,7 +272,7 @@
     added->record = record;
     added->progress.resize(record.tasks.size());
     added->arrivedAt = now.monotonic;
-    for (task_progress &progress : added->progress) {
+    for (task_notes &progress : added->progress) {
         progress.waitingSince = now.monotonic;
     }
     if (!ensureCopies(state, *added, now.monotonic)) {
@@ -299,7 +299,7 @@
     task.worker = decision.worker;
     task.instance = target->instance;
     task.result.clear();
-    task_progress &progress = subject->progress.at(task.index.value);
+    task_notes &progress = subject->progress.at(task.index.value);
     progress.startQueued = false;
     progress.startArrived = false;
     progress.forgotten = true;
--- a/packages/process/job_lifecycle.h
+++ b/packages/term/job_lifecycle.h
@@ -2,7 +2,7 @@
 // the loss of a worker.
 #pragma once
 
-#include "process/leader_state.h"
+#include "term/leader_state.h"
 
 namespace sesamespar {
 
--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -16,8 +16,8 @@
 constexpr milliseconds ticketMargin{150};
 /// Workers about which is asked again for each waiting task when tickets are too old.
 constexpr std::size_t askedPerTask = 2;
-/// Wide gangs that cannot start yet and for which freed room is kept together, counted in the order of placement.
-constexpr std::size_t gatheringGangs = 2;
+/// Workers that one log line names, so that a wide gang does not make a long line.
+constexpr std::size_t mostWorkersLogged = 24;
 
 /// A step with waiting tasks whose turn has come.
 struct waiting_step {
@@ -39,6 +39,13 @@
     return urgent || waiting.outlook.prospect == job_prospect::InTime ? 0 : 1;
 }
 
+bool arrivedEarlier(const waiting_step &left, const waiting_step &right)
+{
+    const utc_time leftArrival = left.job->accepted.acceptedAt;
+    const utc_time rightArrival = right.job->accepted.acceptedAt;
+    return leftArrival != rightArrival ? leftArrival < rightArrival : left.job->accepted.key < right.job->accepted.key;
+}
+
 bool isAhead(const waiting_step &left, const waiting_step &right)
 {
     if (rankOf(left) != rankOf(right)) {
@@ -93,7 +100,7 @@
             waiting.push_back({job.get(), step, outlook});
         }
     }
-    std::sort(waiting.begin(), waiting.end(), isAhead);
+    std::sort(waiting.begin(), waiting.end(), state.policy.order == work_order::Outlook ? isAhead : arrivedEarlier);
     return waiting;
 }
 
@@ -190,7 +197,7 @@
             candidates.push_back({&worker,
                                   fit,
                                   !advised || ticketHolds(step, worker.id, now.uptime),
-                                  hasFailedOn(job, step, worker.id)});
+                                  state.policy.failedTasksElsewhere && hasFailedOn(job, step, worker.id)});
         }
     };
     if (advised) {
@@ -219,7 +226,7 @@
         }
         const resources &leftRoom = rooms.left.at(left.worker);
         const resources &rightRoom = rooms.left.at(right.worker);
-        if (leftRoom.processors != rightRoom.processors) {
+        if (state.policy.workers == worker_order::LeastRoom && leftRoom.processors != rightRoom.processors) {
             return leftRoom.processors < rightRoom.processors;
         }
         return left.worker->id < right.worker->id;
@@ -313,7 +320,25 @@
     ask(pass, waiting, std::move(question));
 }
 
-void logPlacement(const waiting_step &waiting, std::size_t placed, std::size_t wanted, const clock_reading &now)
+/// Workers with the number of tasks that each got, such as w1*3,w2.
+std::string describeWorkers(const std::map<worker_id, std::size_t> &tasks)
+{
+    std::string text;
+    std::size_t named = 0;
+    for (const auto &[worker, count] : tasks) {
+        if (named++ == mostWorkersLogged) {
+            return text + ",...";
+        }
+        text += (text.empty() ? "" : ",") + worker.value + (count > 1 ? '*' + std::to_string(count) : "");
+    }
+    return text;
+}
+
+void logPlacement(const waiting_step &waiting,
+                  const std::map<worker_id, std::size_t> &places,
+                  std::size_t placed,
+                  std::size_t wanted,
+                  const clock_reading &now)
 {
     log_event("placed")
         .with("job", waiting.job->accepted.key)
@@ -322,7 +347,8 @@
         .with("tasks", placed)
         .with("waiting", wanted - placed)
         .with("slack_ms", waiting.outlook.latestStart.value - now.utc.value)
-        .with("prospect", static_cast<int>(waiting.outlook.prospect));
+        .with("prospect", static_cast<int>(waiting.outlook.prospect))
+        .with("workers", describeWorkers(places));
 }
 
 /// Places the tasks whose place has a ticket. Returns how many.
@@ -335,6 +361,7 @@
     const cell_step &step = job.steps[waiting.step];
     const job_step &declared = job.accepted.job.steps[waiting.step];
     const run_number gangRun = nextRun(job, step.first, step.count);
+    std::map<worker_id, std::size_t> taken;
     std::size_t placed = 0;
     for (std::size_t index = 0; index < places.size(); ++index) {
         if (!places[index].ticketed) {
@@ -343,10 +370,11 @@
         const run_number run = declared.gang ? gangRun : nextRun(job, tasks[index].value, 1);
         pass.outcome.placed.push_back(&placeRun(pass.state, job, tasks[index], run, *places[index].worker, pass.now));
         takeRoom(pass.rooms, {places[index]}, declared.need);
+        ++taken[places[index].worker->id];
         ++placed;
     }
     if (placed > 0) {
-        logPlacement(waiting, placed, tasks.size(), pass.now);
+        logPlacement(waiting, taken, placed, tasks.size(), pass.now);
     }
     return placed;
 }
@@ -379,7 +407,7 @@
         if (!fits && mayAsk) {
             askAboutUnknown(pass, waiting);
         }
-        if (fits && pass.gathering < gatheringGangs) {
+        if (fits && pass.gathering < pass.state.policy.gatheringGangs) {
             ++pass.gathering;
             takeRoom(pass.rooms, places, declared.need);
         }
--- a/packages/process/job_queue.cpp
+++ b/packages/term/job_queue.cpp
@@ -1,8 +1,8 @@
-#include "process/job_queue.h"
+#include "term/job_queue.h"
 
-#include "process/scheduler_state.h"
-#include "process/team_usage.h"
-#include "process/usage_learning.h"
+#include "term/scheduler_state.h"
+#include "term/team_usage.h"
+#include "term/usage_learning.h"
 
 #include <algorithm>
 
--- a/packages/process/job_queue.h
+++ b/packages/term/job_queue.h
@@ -2,7 +2,7 @@
 // somewhere or none does. A lane that does not fit is left out until capacity that could help it becomes free.
 #pragma once
 
-#include "process/fleet_index.h"
+#include "term/fleet_index.h"
 
 #include <boost/container/flat_map.hpp>
 #include <boost/container/flat_set.hpp>
@@ -37,7 +37,7 @@
     time_point since; ///< When it began to wait.
     std::uint32_t preempting = 0; ///< Tasks with a decided preemption that was not carried out yet.
     boost::container::flat_set<task_index, std::greater<>> waiting; ///< The lowest index is served first.
-    boost::container::flat_map<task_index, std::unique_ptr<task_state>> placed;
+    boost::container::flat_map<task_index, std::unique_ptr<held_task>> placed;
     boost::container::flat_map<const rack_state *, std::uint32_t> racks; ///< Placed tasks on each rack.
     job_lane *lane = nullptr; ///< Lane that it waits in.
     auto_list_hook inLane;
--- a/packages/process/job_table.cpp
+++ b/packages/term/job_table.cpp
@@ -1,4 +1,4 @@
-#include "process/job_table.h"
+#include "term/job_table.h"
 
 #include <algorithm>
 
--- a/packages/process/job_table.h
+++ b/packages/term/job_table.h
@@ -3,9 +3,9 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "process/scheduler.h"
 #include "request/job_answer.h"
 #include "request/job_record.h"
+#include "term/scheduler.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -34,7 +34,7 @@
 };
 
 /// What a leader notes of a task beside its record.
-struct task_progress {
+struct task_notes {
     record_revision claim; ///< Revision that names the worker of the present attempt.
     bool startQueued = false; ///< The start command was queued or sent.
     bool startArrived = false; ///< The start command may have reached the worker.
@@ -45,7 +45,7 @@
 /// One job of a leader. Freed when the table and every part that works on it let go.
 struct job : boost::intrusive_ref_counter<job, boost::thread_unsafe_counter> {
     job_record record;
-    std::vector<task_progress> progress; ///< One for each task.
+    std::vector<task_notes> progress; ///< One for each task.
     std::vector<record_copy> copies; ///< Two, in different racks, once the job is recorded.
     std::vector<job_waiter> waiters;
     record_revision firstRevision; ///< The job is accepted when all copies hold it.
--- a/packages/process/journal.cpp
+++ b/packages/term/journal.cpp
@@ -1,4 +1,4 @@
-#include "process/journal.h"
+#include "term/journal.h"
 
 #include "base/log.h"
 
--- a/packages/process/journal.h
+++ b/packages/term/journal.h
@@ -2,7 +2,7 @@
 // one call at a time; a copy whose worker is lost is written again elsewhere.
 #pragma once
 
-#include "process/leader_state.h"
+#include "term/leader_state.h"
 
 namespace sesamespar {
 
--- a/packages/process/leader.h
+++ b/packages/term/leader.h
@@ -1,7 +1,7 @@
 // The leader's role as the daemon drives it: events in, effects out.
 #pragma once
 
-#include "process/leader_state.h"
+#include "term/leader_state.h"
 
 namespace sesamespar {
 
--- a/packages/process/leader_requests.cpp
+++ b/packages/term/leader_requests.cpp
@@ -1,8 +1,8 @@
-#include "process/leader_requests.h"
+#include "term/leader_requests.h"
 
 #include "base/log.h"
-#include "process/job_lifecycle.h"
-#include "process/recovery.h"
+#include "term/job_lifecycle.h"
+#include "term/recovery.h"
 
 namespace sesamespar {
 
--- a/packages/process/leader_requests.h
+++ b/packages/term/leader_requests.h
@@ -1,7 +1,7 @@
 // Requests about jobs as the leader of the home data centre decides them.
 #pragma once
 
-#include "process/leader_state.h"
+#include "term/leader_state.h"
 
 namespace sesamespar {
 
--- a/packages/process/leader_state.cpp
+++ b/packages/term/leader_state.cpp
@@ -1,4 +1,4 @@
-#include "process/leader_state.h"
+#include "term/leader_state.h"
 
 namespace sesamespar {
 
--- a/packages/process/leader_state.h
+++ b/packages/term/leader_state.h
@@ -4,10 +4,10 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "process/event.h"
-#include "process/job_table.h"
-#include "process/scheduler.h"
-#include "process/worker_table.h"
+#include "connection/event.h"
+#include "term/job_table.h"
+#include "term/scheduler.h"
+#include "term/worker_table.h"
 #include "version/configuration.h"
 #include "version/daemon_settings.h"
 
--- a/packages/process/leadership.cpp
+++ b/packages/term/leadership.cpp
@@ -1,10 +1,10 @@
-#include "process/leadership.h"
+#include "term/leadership.h"
 
 #include "base/log.h"
-#include "process/job_lifecycle.h"
-#include "process/journal.h"
-#include "process/recovery.h"
-#include "process/task_commands.h"
+#include "term/job_lifecycle.h"
+#include "term/journal.h"
+#include "term/recovery.h"
+#include "term/task_commands.h"
 
 #include <algorithm>
 
--- a/packages/process/leadership.h
+++ b/packages/term/leadership.h
@@ -2,7 +2,7 @@
 // becomes leader and when it ceases to be one.
 #pragma once
 
-#include "process/leader_state.h"
+#include "term/leader_state.h"
 
 namespace sesamespar {
 
--- a/packages/process/load_report.cpp
+++ b/packages/term/load_report.cpp
@@ -1,8 +1,8 @@
-#include "process/load_report.h"
+#include "term/load_report.h"
 
 #include "base/log.h"
 #include "connection/cell_codec.h"
-#include "process/cell_keys.h"
+#include "connection/cell_keys.h"
 #include "term/cell_admission.h"
 
 namespace sesamespar {
@@ -76,11 +76,14 @@
     store_transaction transaction;
     transaction.conditions.push_back({cell_keys::term, store_revision(leader->fence.value)});
     transaction.writes.push_back({cell_keys::load, encodeLoad(load), {}});
-    leader->context.store.commit(transaction, loadLimit, [leader, sentAt = now.uptime](result<store_commit> commit) {
-        post(leader->context.box, [leader, sentAt, commit = std::move(commit)](const clock_reading &) {
-            takeWritten(leader, sentAt, commit);
-        });
-    });
+    leader->context.store.commit(
+        transaction,
+        loadLimit,
+        timedOnControlThread(leader->context,
+                             cell_metrics::loadTime,
+                             [leader, sentAt = now.uptime](const result<store_commit> &commit, const clock_reading &) {
+                                 takeWritten(leader, sentAt, commit);
+                             }));
 }
 
 } // namespace sesamespar
--- a/packages/process/load_report.h
+++ b/packages/term/load_report.h
@@ -1,7 +1,7 @@
 // Tells the other daemons how long the queues are and which of them turn new jobs away.
 #pragma once
 
-#include "process/cell_leader.h"
+#include "term/cell_leader.h"
 
 namespace sesamespar {
 
--- a/packages/term/objective.cpp
+++ b/packages/term/objective.cpp
@@ -10,9 +10,6 @@
 constexpr int lateFactor = 3;
 /// The objective allows one call to the advisor for each step of the chain, asking about this many workers.
 constexpr int adviceWorkers = 30;
-/// Weight of the caller's estimate against the queue's mean. Estimates are off by up to nine tenths, and the
-/// durations of a queue's tasks spread by about half of their mean, so both tell about the same.
-constexpr double estimateWeight = 0.5;
 
 double chainMs(const cell_state &state, const cell_job &job, bool remainingOnly)
 {
@@ -44,8 +41,8 @@
     if (history == state.history.end() || history->second.meanMs == 0) {
         return milliseconds(static_cast<std::int64_t>(estimate));
     }
-    return milliseconds(
-        static_cast<std::int64_t>(estimateWeight * estimate + (1 - estimateWeight) * history->second.meanMs));
+    const double weight = state.policy.estimateWeight;
+    return milliseconds(static_cast<std::int64_t>(weight * estimate + (1 - weight) * history->second.meanMs));
 }
 
 milliseconds objectiveOf(const cell_state &state, const cell_job &job)
--- a/packages/process/placement_policy.cpp
+++ b/packages/term/placement_policy.cpp
@@ -1,6 +1,6 @@
-#include "process/placement_policy.h"
+#include "term/placement_policy.h"
 
-#include "process/scheduler_state.h"
+#include "term/scheduler_state.h"
 
 #include <algorithm>
 #include <bit>
@@ -75,7 +75,7 @@
 std::uint32_t tasksOf(const job_state &job, const worker_state &worker)
 {
     return static_cast<std::uint32_t>(std::count_if(
-        worker.running.begin(), worker.running.end(), [&](const task_state &task) { return task.job == &job; }));
+        worker.running.begin(), worker.running.end(), [&](const held_task &task) { return task.job == &job; }));
 }
 
 worker_state *spreadWorker(scheduler &state, const worker_search &search)
--- a/packages/process/placement_policy.h
+++ b/packages/term/placement_policy.h
@@ -2,7 +2,7 @@
 // several by name.
 #pragma once
 
-#include "process/fleet_index.h"
+#include "term/fleet_index.h"
 
 #include <string>
 
--- a/packages/process/preemption.cpp
+++ b/packages/term/preemption.cpp
@@ -1,7 +1,7 @@
-#include "process/preemption.h"
+#include "term/preemption.h"
 
-#include "process/scheduler_state.h"
-#include "process/team_usage.h"
+#include "term/scheduler_state.h"
+#include "term/team_usage.h"
 
 #include <algorithm>
 
@@ -15,7 +15,7 @@
 constexpr milliseconds retryAfterNone{200};
 
 struct victim_set {
-    std::vector<task_state *> tasks;
+    std::vector<held_task *> tasks;
     std::uint32_t preemptions = 0; ///< That the victims' jobs had so far.
 };
 
@@ -24,7 +24,7 @@
     return policyOf(*state.settings, job.offer.kind).priority;
 }
 
-bool isVictim(const scheduler &state, const task_state &task, int priority)
+bool isVictim(const scheduler &state, const held_task &task, int priority)
 {
     const kind_policy &policy = policyOf(*state.settings, task.job->offer.kind);
     return task.onVictims.is_linked() && !task.preempting && !task.stopping && policy.priority < priority
@@ -41,11 +41,11 @@
 
 // True if the need fits once the victims and the tasks that are already being preempted are gone, and the work that
 // those make room for has come.
-bool roomWithout(const worker_state &worker, const room_wanted &wanted, const std::vector<task_state *> &victims)
+bool roomWithout(const worker_state &worker, const room_wanted &wanted, const std::vector<held_task *> &victims)
 {
     resources left = worker.reserved + worker.promised;
     std::size_t tasks = worker.tasks + worker.promisedTasks - victims.size();
-    for (const task_state &task : worker.running) {
+    for (const held_task &task : worker.running) {
         if (task.preempting) {
             left = left - task.reserved;
             --tasks;
@@ -55,7 +55,7 @@
         left = worker.usable;
         tasks = worker.slots - std::min<std::size_t>(worker.slots, victims.size());
     }
-    for (const task_state *victim : victims) {
+    for (const held_task *victim : victims) {
         left = left - victim->reserved;
     }
     return tasks < worker.slots && fits(left + wanted.need, worker.usable);
@@ -64,14 +64,14 @@
 // Victims on one worker, the least urgent and least often preempted first, without any that is not needed.
 victim_set victimsOn(const scheduler &state, worker_state &worker, const room_wanted &wanted)
 {
-    std::vector<task_state *> candidates;
-    for (task_state &task : worker.running) {
+    std::vector<held_task *> candidates;
+    for (held_task &task : worker.running) {
         if (isVictim(state, task, wanted.priority)) {
             candidates.push_back(&task);
         }
     }
-    std::sort(candidates.begin(), candidates.end(), [&](const task_state *left, const task_state *right) {
-        const auto rank = [&](const task_state &task) {
+    std::sort(candidates.begin(), candidates.end(), [&](const held_task *left, const held_task *right) {
+        const auto rank = [&](const held_task &task) {
             return std::make_tuple(priorityOf(state, *task.job),
                                    task.job->offer.preemptions,
                                    -static_cast<std::int64_t>(task.placedOrder));
@@ -79,7 +79,7 @@
         return rank(*left) < rank(*right);
     });
     victim_set chosen;
-    for (task_state *candidate : candidates) {
+    for (held_task *candidate : candidates) {
         if (roomWithout(worker, wanted, chosen.tasks)) {
             break;
         }
@@ -89,13 +89,13 @@
         return {};
     }
     for (std::size_t index = chosen.tasks.size(); index-- > 0;) {
-        task_state *candidate = chosen.tasks.at(index);
+        held_task *candidate = chosen.tasks.at(index);
         chosen.tasks.erase(chosen.tasks.begin() + static_cast<std::ptrdiff_t>(index));
         if (!roomWithout(worker, wanted, chosen.tasks)) {
             chosen.tasks.push_back(candidate);
         }
     }
-    for (const task_state *victim : chosen.tasks) {
+    for (const held_task *victim : chosen.tasks) {
         chosen.preemptions += victim->job->offer.preemptions;
     }
     return chosen;
@@ -107,7 +107,7 @@
     std::size_t examined = 0;
     for (int level = 0; level < wanted.priority; ++level) {
         for (auto &tasks : state.victims.at(static_cast<std::size_t>(level))) {
-            for (task_state &task : tasks) {
+            for (held_task &task : tasks) {
                 if (++examined > maxExamined) {
                     return best;
                 }
@@ -131,12 +131,12 @@
 void promise(scheduler &state, job_lane &lane, const victim_set &victims, schedule_result &result)
 {
     ++lane.preempting;
-    task_state &first = *victims.tasks.front();
+    held_task &first = *victims.tasks.front();
     first.preemptedFor = &lane;
     first.promised = lane.need;
     first.worker->promised = first.worker->promised + lane.need;
     ++first.worker->promisedTasks;
-    for (task_state *victim : victims.tasks) {
+    for (held_task *victim : victims.tasks) {
         victim->preempting = true;
         ++victim->job->preempting;
         kind_state &kind = state.kinds.at(kindIndex(victim->job->offer.kind));
@@ -149,7 +149,7 @@
 // Takes back what promise() did.
 void withdraw(scheduler &state, const victim_set &victims, schedule_result &result)
 {
-    for (task_state *victim : victims.tasks) {
+    for (held_task *victim : victims.tasks) {
         notePreempted(state, *victim);
         victim->preempting = false;
         victim->preemptedFor = nullptr;
@@ -167,7 +167,7 @@
 
 } // namespace
 
-void listVictim(scheduler &state, task_state &task)
+void listVictim(scheduler &state, held_task &task)
 {
     const kind_policy &policy = policyOf(*state.settings, task.job->offer.kind);
     if (task.onVictims.is_linked() || !policy.preemptible || !task.job->offer.repeatable
@@ -204,7 +204,7 @@
     }
 }
 
-void notePreempted(scheduler &state, task_state &task)
+void notePreempted(scheduler &state, held_task &task)
 {
     if (task.preempting) {
         kind_state &kind = state.kinds.at(kindIndex(task.job->offer.kind));
--- a/packages/process/preemption.h
+++ b/packages/term/preemption.h
@@ -1,12 +1,12 @@
 // Preemption: makes room for waiting work of higher priority by checkpointing running tasks that can be resumed.
 #pragma once
 
-#include "process/job_queue.h"
+#include "term/job_queue.h"
 
 namespace sesamespar {
 
 /// Lists a placed task among those that may be preempted, if its kind and job allow it.
-void listVictim(scheduler &state, task_state &task);
+void listVictim(scheduler &state, held_task &task);
 
 /// What preemption is asked for.
 struct preemption_request {
@@ -20,6 +20,6 @@
 void preemptFor(scheduler &state, job_lane &lane, const preemption_request &request, schedule_result &result);
 
 /// Notes that a preempted task was released.
-void notePreempted(scheduler &state, task_state &task);
+void notePreempted(scheduler &state, held_task &task);
 
 } // namespace sesamespar
--- a/packages/process/progress_writer.cpp
+++ b/packages/term/progress_writer.cpp
@@ -1,10 +1,10 @@
-#include "process/progress_writer.h"
+#include "term/progress_writer.h"
 
 #include "base/log.h"
 #include "connection/cell_codec.h"
-#include "process/cell_keys.h"
-#include "process/worker_sessions.h"
+#include "connection/cell_keys.h"
 #include "term/run_lifecycle.h"
+#include "term/worker_sessions.h"
 
 #include <algorithm>
 
@@ -154,7 +154,7 @@
     }
     --leader->openCommits;
     if (!commit) {
-        addCount(*leader->context.counters, "progress_writes_failed");
+        addCount(*leader->context.counters, cell_metrics::progressWritesFailed);
         log_event("progress_write_failed", log_level::Warning)
             .with("jobs", written.size())
             .with("problem", commit.error().message);
@@ -166,7 +166,7 @@
         takeRefused(*leader, written, commit.value().current);
         return;
     }
-    addCount(*leader->context.counters, "progress_writes");
+    addCount(*leader->context.counters, cell_metrics::progressWrites);
     leader->provedAt = std::max(leader->provedAt, sentAt);
     takeApplied(leader, written, commit.value().revision, now);
 }
@@ -185,12 +185,14 @@
         const auto written = std::make_shared<const written_jobs>(takeChanged(*leader, transaction));
         ++leader->openCommits;
         leader->context.store.commit(
-            transaction, commitLimit, [leader, written, sentAt = now.uptime](result<store_commit> commit) {
-                post(leader->context.box,
-                     [leader, written, sentAt, commit = std::move(commit)](const clock_reading &when) {
-                         takeCommit(leader, *written, sentAt, commit, when);
-                     });
-            });
+            transaction,
+            commitLimit,
+            timedOnControlThread(
+                leader->context,
+                cell_metrics::progressTime,
+                [leader, written, sentAt = now.uptime](const result<store_commit> &commit, const clock_reading &when) {
+                    takeCommit(leader, *written, sentAt, commit, when);
+                }));
     }
 }
 
--- a/packages/process/progress_writer.h
+++ b/packages/term/progress_writer.h
@@ -2,7 +2,7 @@
 // A run is started, and an end forgotten, only after the transaction that holds it was applied.
 #pragma once
 
-#include "process/cell_leader.h"
+#include "term/cell_leader.h"
 
 namespace sesamespar {
 
--- a/packages/process/recovery.cpp
+++ b/packages/term/recovery.cpp
@@ -1,10 +1,10 @@
-#include "process/recovery.h"
+#include "term/recovery.h"
 
 #include "base/log.h"
-#include "process/job_lifecycle.h"
-#include "process/journal.h"
-#include "process/leadership.h"
-#include "process/task_commands.h"
+#include "term/job_lifecycle.h"
+#include "term/journal.h"
+#include "term/leadership.h"
+#include "term/task_commands.h"
 
 #include <algorithm>
 #include <sstream>
@@ -53,7 +53,7 @@
     placed.task = reported.task;
     placed.lease = policyOf(*state.settings, subject.record.kind).taskLease;
     target.tasks[key] = placed;
-    task_progress &progress = subject.progress.at(task.index.value);
+    task_notes &progress = subject.progress.at(task.index.value);
     progress.startQueued = true;
     progress.startArrived = true;
     job_offer offer = offerOf(subject.record);
@@ -128,7 +128,7 @@
     restored->progress.resize(record.tasks.size());
     restored->accepted = true;
     restored->arrivedAt = now.monotonic;
-    for (task_progress &progress : restored->progress) {
+    for (task_notes &progress : restored->progress) {
         progress.waitingSince = now.monotonic;
         progress.startQueued = true;
         progress.startArrived = true;
@@ -196,7 +196,7 @@
         task_record task;
         task.index = task_index(static_cast<std::uint32_t>(tasks.size()));
         tasks.push_back(task);
-        task_progress progress;
+        task_notes progress;
         progress.waitingSince = now.monotonic;
         subject.progress.push_back(progress);
         changed = true;
--- a/packages/process/recovery.h
+++ b/packages/term/recovery.h
@@ -1,7 +1,7 @@
 // Rebuilds the state of a leader from what workers and the archive know.
 #pragma once
 
-#include "process/leader_state.h"
+#include "term/leader_state.h"
 
 namespace sesamespar {
 
--- a/packages/term/run_lifecycle.cpp
+++ b/packages/term/run_lifecycle.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// Weight of the newest duration in the moving means of a queue.
+/// Weight of the newest duration in the moving mean of a queue.
 constexpr double historyWeight = 0.05;
 /// Failed runs in a row, of more than one job, after which a worker is avoided. With one run in twenty failing by
 /// itself, four in a row are seen once in 160,000 runs on a sound worker.
@@ -58,14 +58,9 @@
 
 void noteDuration(cell_state &state, const cell_job &job, const placed_run &run, const clock_reading &now)
 {
-    const std::uint32_t step = stepOf(job, run.position);
     const double took = std::chrono::duration<double, std::milli>(now.uptime - run.placedAt).count();
-    const auto estimate = static_cast<double>(job.accepted.job.steps[step].estimate.count());
     queue_history &history = state.history[job.accepted.policy.queue];
     history.meanMs = history.meanMs == 0 ? took : history.meanMs + historyWeight * (took - history.meanMs);
-    if (estimate > 0) {
-        history.ratio += historyWeight * (took / estimate - history.ratio);
-    }
 }
 
 void noteSuccess(cell_worker &worker)
@@ -160,12 +155,8 @@
 
 } // namespace
 
-placed_run &placeRun(cell_state &state,
-                     cell_job &job,
-                     task_position position,
-                     run_number run,
-                     cell_worker &worker,
-                     const clock_reading &now)
+placed_run &
+reserveRun(cell_job &job, task_position position, run_number run, cell_worker &worker, const clock_reading &now)
 {
     const std::uint32_t step = stepOf(job, position);
     auto *placed = new placed_run;
@@ -179,6 +170,17 @@
     worker.runs.push_back(*placed);
     job.runs[position.value] = placed;
     ++job.steps[step].placed;
+    return *placed;
+}
+
+placed_run &placeRun(cell_state &state,
+                     cell_job &job,
+                     task_position position,
+                     run_number run,
+                     cell_worker &worker,
+                     const clock_reading &now)
+{
+    placed_run &placed = reserveRun(job, position, run, worker, now);
     task_progress &task = job.progress.tasks[position.value];
     task.phase = task_phase::Placed;
     task.run = run;
@@ -186,8 +188,8 @@
     task.birth = worker.birth;
     job.progress.phase = job_phase::Running;
     noteChange(state, job);
-    placed->notedBy = job.changes;
-    return *placed;
+    placed.notedBy = job.changes;
+    return placed;
 }
 
 run_number nextRun(const cell_job &job, std::uint32_t first, std::uint32_t count)
--- a/packages/term/run_lifecycle.h
+++ b/packages/term/run_lifecycle.h
@@ -6,7 +6,12 @@
 
 namespace sesamespar {
 
-/// Places the next run of a task on a worker and reserves its room. Members of a gang get the same `run`.
+/// Reserves room on a worker for a run of a task. The job's progress stays as it is.
+placed_run &
+reserveRun(cell_job &job, task_position position, run_number run, cell_worker &worker, const clock_reading &now);
+
+/// Places the next run of a task on a worker: reserves its room and notes it in the job's progress. Members of a gang
+/// get the same `run`.
 placed_run &placeRun(cell_state &state,
                      cell_job &job,
                      task_position position,
--- a/packages/process/scheduler.cpp
+++ b/packages/term/scheduler.cpp
@@ -1,13 +1,13 @@
-#include "process/scheduler.h"
+#include "term/scheduler.h"
 
-#include "process/admission.h"
-#include "process/capacity_hold.h"
-#include "process/preemption.h"
-#include "process/scheduler_state.h"
-#include "process/team_usage.h"
-#include "process/usage_learning.h"
-#include "process/wait_reason.h"
-#include "process/worker_health.h"
+#include "term/admission.h"
+#include "term/capacity_hold.h"
+#include "term/preemption.h"
+#include "term/scheduler_state.h"
+#include "term/team_usage.h"
+#include "term/usage_learning.h"
+#include "term/wait_reason.h"
+#include "term/worker_health.h"
 
 #include <glog/logging.h>
 
@@ -357,7 +357,7 @@
         forgetShape(state, worker);
     }
     if (worker.rack != nullptr && worker.offer.rack != offer.rack) {
-        for (task_state &task : worker.running) {
+        for (held_task &task : worker.running) {
             --task.job->racks[worker.rack];
         }
         leaveRack(worker);
@@ -368,7 +368,7 @@
     ++state.shapes[shapeOf(usable)];
     if (joins) {
         joinRack(state, worker);
-        for (task_state &task : worker.running) {
+        for (held_task &task : worker.running) {
             ++task.job->racks[worker.rack];
         }
     }
@@ -453,10 +453,10 @@
     return result;
 }
 
-task_state &reserveTask(scheduler &state, job_state &job, task_index index, worker_state &worker, const resources &need)
+held_task &reserveTask(scheduler &state, job_state &job, task_index index, worker_state &worker, const resources &need)
 {
-    auto made = std::make_unique<task_state>();
-    task_state &task = *made;
+    auto made = std::make_unique<held_task>();
+    held_task &task = *made;
     job.placed.emplace(index, std::move(made));
     task.job = &job;
     task.index = index;
@@ -472,7 +472,7 @@
     return task;
 }
 
-void resizeTask(scheduler &state, task_state &task, const resources &reserved)
+void resizeTask(scheduler &state, held_task &task, const resources &reserved)
 {
     const resources more = reserved - task.reserved;
     if (task.preempting) {
@@ -485,7 +485,7 @@
     reindexWorker(state, *task.worker);
 }
 
-void unreserveTask(scheduler &state, task_state &task)
+void unreserveTask(scheduler &state, held_task &task)
 {
     job_state &job = *task.job;
     worker_state &worker = *task.worker;
--- a/packages/process/scheduler_state.h
+++ b/packages/term/scheduler_state.h
@@ -1,9 +1,9 @@
 // The whole state of a scheduler, shared by the files that each implement one part of its decisions.
 #pragma once
 
-#include "process/fleet_index.h"
-#include "process/job_queue.h"
-#include "process/placement_policy.h"
+#include "term/fleet_index.h"
+#include "term/job_queue.h"
+#include "term/placement_policy.h"
 
 #include <array>
 #include <limits>
@@ -76,8 +76,8 @@
     /// Tasks that may be preempted, by priority of their kind and preemptions of their job up to 7; the task placed
     /// last comes first.
     std::array<std::array<boost::intrusive::list<
-                              task_state,
-                              boost::intrusive::member_hook<task_state, task_list_hook, &task_state::onVictims>,
+                              held_task,
+                              boost::intrusive::member_hook<held_task, task_list_hook, &held_task::onVictims>,
                               boost::intrusive::constant_time_size<false>>,
                           8>,
                10>
@@ -96,16 +96,15 @@
 void reindexWorker(scheduler &state, worker_state &worker);
 
 /// Reserves capacity for a task on a worker.
-task_state &
-reserveTask(scheduler &state, job_state &job, task_index index, worker_state &worker, const resources &need);
+held_task &reserveTask(scheduler &state, job_state &job, task_index index, worker_state &worker, const resources &need);
 
 /// Puts another placement policy in force; the measurements compare several.
 void applyPlacementPolicy(scheduler &state, const placement_policy &policy);
 
 /// Gives back the capacity of a placed task and forgets it. The task is no longer valid afterwards.
-void unreserveTask(scheduler &state, task_state &task);
+void unreserveTask(scheduler &state, held_task &task);
 
 /// Changes the reservation of a placed task.
-void resizeTask(scheduler &state, task_state &task, const resources &reserved);
+void resizeTask(scheduler &state, held_task &task, const resources &reserved);
 
 } // namespace sesamespar
--- a/packages/process/task_commands.h
+++ b/packages/term/task_commands.h
@@ -1,7 +1,7 @@
 // Queues commands for tasks and sends them to workers, one call at a time for each worker.
 #pragma once
 
-#include "process/leader_state.h"
+#include "term/leader_state.h"
 
 namespace sesamespar {
 
--- a/packages/process/team_usage.cpp
+++ b/packages/term/team_usage.cpp
@@ -1,6 +1,6 @@
-#include "process/team_usage.h"
+#include "term/team_usage.h"
 
-#include "process/scheduler_state.h"
+#include "term/scheduler_state.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/process/team_usage.h
+++ b/packages/term/team_usage.h
@@ -1,7 +1,7 @@
 // What teams and kinds hold, and the limits that follow from it: quotas, caps, guarantees and weighted shares.
 #pragma once
 
-#include "process/job_queue.h"
+#include "term/job_queue.h"
 
 #include <string>
 
--- a/packages/process/usage_learning.cpp
+++ b/packages/term/usage_learning.cpp
@@ -1,6 +1,6 @@
-#include "process/usage_learning.h"
+#include "term/usage_learning.h"
 
-#include "process/scheduler_state.h"
+#include "term/scheduler_state.h"
 
 #include <algorithm>
 #include <set>
@@ -65,7 +65,7 @@
 }
 
 // Lets a task hold as much more as its worker has left, and returns true if that covers the use.
-bool growReservation(scheduler &state, task_state &task, const resources &used)
+bool growReservation(scheduler &state, held_task &task, const resources &used)
 {
     const resources room = task.worker->usable - task.worker->reserved;
     const auto grow = [](std::int64_t reserved, std::int64_t wanted, std::int64_t free) {
@@ -83,15 +83,15 @@
 
 // The task to remove when memory runs out: the least urgent one on the worker that can be resumed and frees enough,
 // or the task itself.
-task_state &memoryVictim(const scheduler &state, task_state &task, std::int64_t missing)
+held_task &memoryVictim(const scheduler &state, held_task &task, std::int64_t missing)
 {
-    const auto rank = [&](const task_state &each) {
+    const auto rank = [&](const held_task &each) {
         return std::make_tuple(policyOf(*state.settings, each.job->offer.kind).priority,
                                each.job->offer.preemptions,
                                &each == &task ? 0 : 1);
     };
-    task_state *chosen = &task;
-    for (task_state &other : task.worker->running) {
+    held_task *chosen = &task;
+    for (held_task &other : task.worker->running) {
         const bool removable = other.job->offer.repeatable && !other.stopping && !other.preempting;
         if (removable && other.reserved.memory.value >= missing && rank(other) < rank(*chosen)) {
             chosen = &other;
@@ -100,7 +100,7 @@
     return *chosen;
 }
 
-void limitOveruse(scheduler &state, task_state &task, const resources &used, std::vector<overuse_action> &actions)
+void limitOveruse(scheduler &state, held_task &task, const resources &used, std::vector<overuse_action> &actions)
 {
     if (used.processors > task.reserved.processors) {
         actions.push_back({{task.job->offer.id, task.index},
@@ -111,17 +111,17 @@
     const std::int64_t missing = used.memory.value - task.reserved.memory.value;
     const bool underWay = std::any_of(task.worker->running.begin(),
                                       task.worker->running.end(),
-                                      [](const task_state &each) { return each.stopping || each.preempting; });
+                                      [](const held_task &each) { return each.stopping || each.preempting; });
     if (missing <= 0 || underWay) {
         return; // Memory that a task on its way out frees is awaited first.
     }
-    task_state &victim = memoryVictim(state, task, missing);
+    held_task &victim = memoryVictim(state, task, missing);
     victim.stopping = true;
     const auto action = victim.job->offer.repeatable ? overuse_action::kind::Checkpoint : overuse_action::kind::Stop;
     actions.push_back({{victim.job->offer.id, victim.index}, victim.worker->offer.name, action, millicores(0)});
 }
 
-task_state *findPlaced(scheduler &state, const task_key &key)
+held_task *findPlaced(scheduler &state, const task_key &key)
 {
     const auto job = state.jobs.find(key.job);
     if (job == state.jobs.end()) {
@@ -159,7 +159,7 @@
     std::vector<overuse_action> actions;
     std::set<work_id> learned;
     for (const usage_sample &sample : samples) {
-        task_state *task = findPlaced(state, sample.task);
+        held_task *task = findPlaced(state, sample.task);
         if (task == nullptr) {
             continue;
         }
--- a/packages/process/usage_learning.h
+++ b/packages/term/usage_learning.h
@@ -1,7 +1,7 @@
 // What work really uses, learned from lagging samples, and what is done about tasks that outgrow their reservation.
 #pragma once
 
-#include "process/scheduler.h"
+#include "term/scheduler.h"
 
 namespace sesamespar {
 
--- a/packages/process/wait_reason.cpp
+++ b/packages/term/wait_reason.cpp
@@ -1,7 +1,7 @@
-#include "process/wait_reason.h"
+#include "term/wait_reason.h"
 
-#include "process/scheduler_state.h"
-#include "process/team_usage.h"
+#include "term/scheduler_state.h"
+#include "term/team_usage.h"
 
 #include <algorithm>
 
--- a/packages/process/wait_reason.h
+++ b/packages/term/wait_reason.h
@@ -1,7 +1,7 @@
 // Sentences for callers and operators about why work waits or cannot run.
 #pragma once
 
-#include "process/scheduler.h"
+#include "term/scheduler.h"
 
 namespace sesamespar {
 
--- a/packages/process/worker_health.cpp
+++ b/packages/term/worker_health.cpp
@@ -1,6 +1,6 @@
-#include "process/worker_health.h"
+#include "term/worker_health.h"
 
-#include "process/scheduler_state.h"
+#include "term/scheduler_state.h"
 
 #include <algorithm>
 
--- a/packages/process/worker_health.h
+++ b/packages/term/worker_health.h
@@ -1,7 +1,7 @@
 // Which workers are set aside because every task fails there, and which work is to blame itself.
 #pragma once
 
-#include "process/scheduler.h"
+#include "term/scheduler.h"
 
 namespace sesamespar {
 
--- a/packages/term/worker_reports.cpp
+++ b/packages/term/worker_reports.cpp
@@ -54,7 +54,7 @@
         end.job = takeLateEnd(state, row, now);
     } else {
         end.job = found->second->job;
-        end.job->begun = true;
+        noteBegun(state, *end.job, now);
         endRun(state, *found->second, row.how, row.checkpoint, now);
         table.erase(found);
     }
@@ -103,7 +103,7 @@
         }
         run.checkpoint = row.checkpoint.empty() ? run.checkpoint : row.checkpoint;
         run.startUnknown = false;
-        run.job->begun = true;
+        noteBegun(state, *run.job, now);
         run.state = run.state == run_state::Starting ? run_state::Running : run.state;
         table.erase(found);
     }
--- a/packages/process/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -1,4 +1,4 @@
-#include "process/worker_sessions.h"
+#include "term/worker_sessions.h"
 
 #include "base/log.h"
 #include "term/run_lifecycle.h"
@@ -104,15 +104,16 @@
     look.wait = session->second.noWait || !worker->clock ? milliseconds(0) : lookWait;
     session->second.looking = true;
     session->second.noWait = false;
-    leader->context.workers.look({worker->id, worker->at},
-                                 look,
-                                 look.wait + lookGrace,
-                                 [leader, id, sentAt = now.uptime](result<worker_report> report) {
-                                     post(leader->context.box,
-                                          [leader, id, sentAt, report = std::move(report)](const clock_reading &when) {
-                                              takeLook(leader, id, sentAt, report, when);
-                                          });
-                                 });
+    leader->context.workers.look(
+        {worker->id, worker->at},
+        look,
+        look.wait + lookGrace,
+        timedOnControlThread(
+            leader->context,
+            cell_metrics::lookTime,
+            [leader, id, sentAt = now.uptime](const result<worker_report> &report, const clock_reading &when) {
+                takeLook(leader, id, sentAt, report, when);
+            }));
 }
 
 void scheduleLook(const std::shared_ptr<cell_leader> &leader,
@@ -166,15 +167,18 @@
               run_number run,
               const std::optional<run_name> &name)
 {
-    addCount(*leader->context.counters, "stops_sent");
+    addCount(*leader->context.counters, cell_metrics::stopsSent);
     leader->context.workers.stop(
-        {worker.id, worker.at}, {task, run, leader->fence}, orderLimit, [leader, name](result<order_reply> reply) {
-            post(leader->context.box, [leader, name, reply = std::move(reply)](const clock_reading &when) {
-                if (name) {
-                    takeStop(leader, *name, reply, when);
-                }
-            });
-        });
+        {worker.id, worker.at},
+        {task, run, leader->fence},
+        orderLimit,
+        timedOnControlThread(leader->context,
+                             cell_metrics::stopTime,
+                             [leader, name](const result<order_reply> &reply, const clock_reading &when) {
+                                 if (name) {
+                                     takeStop(leader, *name, reply, when);
+                                 }
+                             }));
 }
 
 void takeLook(const std::shared_ptr<cell_leader> &leader,
@@ -194,6 +198,7 @@
             leader->stepDown("a worker has seen a higher fencing token");
             return;
         }
+        addCount(*leader->context.counters, cell_metrics::looksMissed);
         if (++worker->missedLooks == 1) {
             log_event("worker_lost", log_level::Warning)
                 .with("worker", id)
@@ -208,7 +213,7 @@
         log_event("worker_regained").with("worker", id).with("missed_looks", worker->missedLooks);
         worker->missedLooks = 0;
     }
-    addCount(*leader->context.counters, "looks");
+    addCount(*leader->context.counters, cell_metrics::looks);
     if (!worker->seen) {
         // From now on the worker refuses earlier leaders, so what they have extended lasts no longer than one lease.
         worker->heldUntil = now.uptime + longestHold(*leader);
@@ -241,7 +246,7 @@
         .with("worker", run.worker->id)
         .with("reason", names[static_cast<std::size_t>(refusal)])
         .with("placed_ms_ago", std::chrono::duration_cast<milliseconds>(now.uptime - run.placedAt).count());
-    addCount(*leader->context.counters, "starts_refused");
+    addCount(*leader->context.counters, cell_metrics::startsRefused);
     if (refusal == order_refusal::Fenced) {
         leader->stepDown("a worker has seen a higher fencing token");
         return;
@@ -266,6 +271,7 @@
     }
     --run->openOrders;
     if (!reply) {
+        addCount(*leader->context.counters, cell_metrics::startsUnanswered);
         log_event("start_unanswered", log_level::Warning)
             .with("job", name.job)
             .with("task", name.position)
@@ -299,7 +305,7 @@
         return;
     }
     run->startUnknown = false;
-    run->job->begun = true;
+    noteBegun(leader->state, *run->job, now);
     run->orderedAt = now.uptime;
     if (run->state == run_state::Starting) {
         run->state = run_state::Running;
@@ -310,32 +316,27 @@
 
 void takeListing(const std::shared_ptr<cell_leader> &leader, const worker_listing &listing, const clock_reading &now)
 {
-    auto &worker = leader->state.workers[listing.id];
-    if (!worker) {
-        worker = std::make_unique<cell_worker>();
-        worker->id = listing.id;
-        worker->heldUntil = leader->beganAt + longestForeignHold(*leader);
-    }
-    if (listing.birth < worker->birth) {
+    cell_worker &worker = knownWorker(*leader, listing.id);
+    if (listing.birth < worker.birth) {
         return;
     }
-    if (worker->at != listing.at || worker->draining != listing.draining || !worker->listed) {
+    if (worker.at != listing.at || worker.draining != listing.draining || !worker.listed) {
         log_event("worker_listed")
             .with("worker", listing.id)
             .with("address", listing.at)
             .with("draining", listing.draining)
             .with("birth", listing.birth);
     }
-    if (listing.birth > worker->birth) {
-        beginLife(leader->state, *worker, listing.birth);
+    if (listing.birth > worker.birth) {
+        beginLife(leader->state, worker, listing.birth);
     }
-    worker->at = listing.at;
-    worker->service = listing.service;
-    worker->rack = listing.rack;
-    worker->labels = listing.labels;
-    worker->capacity = listing.capacity;
-    worker->draining = listing.draining;
-    worker->listed = true;
+    worker.at = listing.at;
+    worker.service = listing.service;
+    worker.rack = listing.rack;
+    worker.labels = listing.labels;
+    worker.capacity = listing.capacity;
+    worker.draining = listing.draining;
+    worker.listed = true;
     leader->placementDue = true;
     if (leader->sessions.try_emplace(listing.id).second) {
         sendLook(leader, listing.id, now);
@@ -397,13 +398,16 @@
     run.sent = true;
     run.state = run_state::Starting;
     ++run.openOrders;
-    addCount(*leader->context.counters, "starts_sent");
+    addCount(*leader->context.counters, cell_metrics::startsSent);
     leader->context.workers.start(
-        {worker.id, worker.at}, order, orderLimit, [leader, name = nameOf(run)](result<order_reply> reply) {
-            post(leader->context.box, [leader, name, reply = std::move(reply)](const clock_reading &when) {
-                takeStart(leader, name, reply, when);
-            });
-        });
+        {worker.id, worker.at},
+        order,
+        orderLimit,
+        timedOnControlThread(leader->context,
+                             cell_metrics::startTime,
+                             [leader, name = nameOf(run)](const result<order_reply> &reply, const clock_reading &when) {
+                                 takeStart(leader, name, reply, when);
+                             }));
 }
 
 void sendStops(const std::shared_ptr<cell_leader> &leader, const clock_reading &now)
@@ -441,6 +445,7 @@
         const auto entry = next++;
         cell_worker &worker = *entry->second;
         if (!worker.runs.empty() && now.uptime > worker.heldUntil) {
+            addCount(*leader.context.counters, cell_metrics::leasesLapsed);
             log_event("worker_leases_lapsed", log_level::Warning)
                 .with("worker", worker.id)
                 .with("runs", worker.runs.size());
@@ -454,9 +459,15 @@
     }
 }
 
-milliseconds longestForeignHold(const cell_leader &leader)
+cell_worker &knownWorker(cell_leader &leader, const worker_id &id)
 {
-    return extensionAuthority + longestHold(leader);
+    auto &worker = leader.state.workers[id];
+    if (!worker) {
+        worker = std::make_unique<cell_worker>();
+        worker->id = id;
+        worker->heldUntil = leader.beganAt + extensionAuthority + longestHold(leader);
+    }
+    return *worker;
 }
 
 } // namespace sesamespar
--- a/packages/process/worker_sessions.h
+++ b/packages/term/worker_sessions.h
@@ -2,7 +2,7 @@
 // without an answer may be carried out later, so it is repeated or undone until the worker has answered.
 #pragma once
 
-#include "process/cell_leader.h"
+#include "term/cell_leader.h"
 
 namespace sesamespar {
 
@@ -18,8 +18,8 @@
 /// Ends the runs of workers that were not reached for so long that nothing can run on them any more.
 void endLapsedRuns(cell_leader &leader, const clock_reading &now);
 
-/// Longest time after the start of a term for which a worker that is not reached may run what an earlier leader
-/// started or extended.
-milliseconds longestForeignHold(const cell_leader &leader);
+/// The worker with that id, added if the term does not know it yet. What earlier leaders started or extended may run
+/// on an added worker for a while, also if it is never reached.
+cell_worker &knownWorker(cell_leader &leader, const worker_id &id);
 
 } // namespace sesamespar
--- a/packages/term/worker_speed.cpp
+++ b/packages/term/worker_speed.cpp
@@ -100,7 +100,7 @@
     worker.record.avoidedUntil = std::max(worker.record.avoidedUntil, now.uptime + avoidance);
     std::size_t moved = 0;
     for (const reported_percent &entry : reported) {
-        if (shouldMove(state, *entry.run)) {
+        if (state.policy.movesSlowRuns && shouldMove(state, *entry.run)) {
             requestStop(state, *entry.run);
             ++moved;
         }
--- a/packages/process/worker_table.cpp
+++ b/packages/term/worker_table.cpp
@@ -1,4 +1,4 @@
-#include "process/worker_table.h"
+#include "term/worker_table.h"
 
 namespace sesamespar {
 
--- a/packages/process/worker_table.h
+++ b/packages/term/worker_table.h
@@ -5,10 +5,10 @@
 #include "base/backoff.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "connection/event.h"
 #include "connection/store_api.h"
 #include "connection/worker_api.h"
-#include "process/event.h"
-#include "process/scheduler.h"
+#include "term/scheduler.h"
 
 #include <array>
 #include <map>
--- a/test/correctness/peer_links.cpp
+++ b/test/correctness/peer_links.cpp
@@ -87,8 +87,8 @@
     for (std::uint64_t number = 0; number < 200; ++number) {
         CHECK(numberOf(received.messages[number]) == number);
     }
-    CHECK(peerTraffic(*sender).messagesSent == 200);
-    CHECK(peerTraffic(*sender).bytesSent == peerTraffic(*receiver).bytesReceived);
+    CHECK(peerTraffic(*sender).packets.packetsSent == 200);
+    CHECK(peerTraffic(*sender).packets.bytesSent == peerTraffic(*receiver).packets.bytesReceived);
     CHECK(peerTraffic(*receiver).messagesReceived == 200);
 }
 
@@ -106,12 +106,12 @@
         sendPeer(*sender, receiverName, numbered(number));
     }
     const peer_traffic traffic = peerTraffic(*sender);
-    CHECK(traffic.messagesSent + traffic.messagesDropped == offered);
-    CHECK(traffic.messagesSent <= 256);
+    CHECK(traffic.packets.packetsSent + traffic.messagesDropped == offered);
+    CHECK(traffic.packets.packetsSent <= 256);
 
     received_messages received;
     const auto late = startPeerLinks(settingsOf("b", where.value), received.sink()).value();
-    CHECK(waitUntil([&] { return received.count() == traffic.messagesSent; }));
+    CHECK(waitUntil([&] { return received.count() == traffic.packets.packetsSent; }));
     stopPeerLinks(*late);
     stopPeerLinks(*sender);
 }
--- a/test/correctness/timers.cpp
+++ b/test/correctness/timers.cpp
@@ -1,6 +1,6 @@
 // Timers fire once, in order, and never after they were cancelled or destroyed. Guards against leases that
 // are renewed late because a timer was lost, and against callbacks into freed state.
-#include "process/timer_service.h"
+#include "base/timer_service.h"
 
 #include <catch2/catch.hpp>
 #include <memory>
--- a/test/error/cell_failures.cpp
+++ b/test/error/cell_failures.cpp
@@ -1,5 +1,6 @@
 // A cell whose parts fail: each case is a fault that once broke, or would break, a promise of the product.
 #include "../fixtures/cell_world.h"
+#include "connection/cell_keys.h"
 
 #include <catch2/catch.hpp>
 
@@ -242,3 +243,166 @@
     runFor(cell, 1500);
     CHECK(cell.daemons[*leaderOf(cell)]->daemon->load.queues[queue_id("queue")].pending == 1);
 }
+
+TEST_CASE("a draining worker gets nothing new and keeps what runs there")
+{
+    const auto cell = makeBusyWorld("2500");
+    std::vector<std::size_t> draining;
+    for (std::size_t number = 0; number < cell->workers.size(); ++number) {
+        if (!cell->workers[number]->running.empty()) {
+            draining.push_back(number);
+            cell->workers[number]->draining = true;
+            listWorker(*cell, number);
+        }
+    }
+    runFor(*cell, 100);
+    submitJob(*cell, 0, keyNumber(2), oneStep(8, 1, "1000"));
+    runFor(*cell, 500);
+    CHECK(cell->jobs[keyNumber(2)].starts == 8);
+    for (const std::size_t number : draining) {
+        for (const auto &[task, run] : cell->workers[number]->running) {
+            CHECK(task.job == keyNumber(1));
+        }
+    }
+    CHECK(runUntil(*cell, 4000, [&] { return isCompleted(*cell, 1) && isCompleted(*cell, 2); }));
+    CHECK(cell->jobs[keyNumber(1)].starts == 2);
+    CHECK(cell->broken.empty());
+}
+
+TEST_CASE("workers whose answers are lost run nothing twice")
+{
+    // What the leader sends still arrives there: each look renews the leases although no answer comes back.
+    const auto cell = makeBusyWorld("20000");
+    for (const auto &worker : cell->workers) {
+        worker->answers = worker->running.empty();
+    }
+    CHECK(runUntil(*cell, 12000, [&] { return cell->jobs[keyNumber(1)].starts == 4; }));
+    for (const auto &worker : cell->workers) {
+        worker->answers = true;
+    }
+    CHECK(runUntil(*cell, 24000, [&] { return isCompleted(*cell, 1); }));
+    CHECK(cell->broken.empty());
+}
+
+TEST_CASE("a data centre that is cut off refuses at once, and the rest goes on")
+{
+    const auto cell = makeBusyWorld("1500");
+    // With the leader, the store is lost on that side: the others elect a new one.
+    const std::size_t cut = cell->daemons[*leaderOf(*cell)]->dataCentre;
+    const std::size_t other = (cut + 1) % 3;
+    cell->cutDataCentre = cut;
+    runFor(*cell, 3000);
+    submitJob(*cell, cut, keyNumber(2), oneStep(1, 1, "200"));
+    submitJob(*cell, other, keyNumber(3), oneStep(2, 1, "200"));
+    runFor(*cell, 50);
+    CHECK(cell->jobs[keyNumber(2)].refusedOnly);
+    CHECK(cell->jobs[keyNumber(2)].answeredAt);
+    CHECK(runUntil(*cell, 3000, [&] { return isCompleted(*cell, 3); }));
+    cell->cutDataCentre.reset();
+    CHECK(runUntil(*cell, 12000, [&] { return isCompleted(*cell, 1); }));
+    CHECK(cell->broken.empty());
+}
+
+TEST_CASE("daemons that are replaced at other addresses take over all work")
+{
+    world_settings settings;
+    settings.advised = true;
+    world cell(settings);
+    runFor(cell, 2000);
+    submitJob(cell, 0, keyNumber(1), oneStep(2, 1, "3000"));
+    runFor(cell, 500);
+    for (std::size_t number = 0; number < 3; ++number) {
+        killDaemon(cell, number);
+        startDaemon(cell);
+        runFor(cell, 1500);
+    }
+    submitJob(cell, 4, keyNumber(2), oneStep(4, 1, "300"));
+    CHECK(runUntil(cell, 8000, [&] { return isCompleted(cell, 1) && isCompleted(cell, 2); }));
+    CHECK(cell.jobs[keyNumber(1)].starts == 2);
+    CHECK(cell.broken.empty());
+}
+
+TEST_CASE("daemons that stop one after the other break nothing")
+{
+    const auto cell = makeBusyWorld("5000");
+    for (std::size_t number = 0; number < 3; ++number) {
+        post(cell->daemons[number]->context->box,
+             [&cell, number](const clock_reading &now) { drainCellDaemon(*cell->daemons[number]->daemon, now); });
+        startDaemon(*cell);
+        runFor(*cell, 1300);
+        submitJob(*cell, 3 + number, keyNumber(10 + number), oneStep(1, 1, "200"));
+    }
+    const auto allCompleted = [&] {
+        return isCompleted(*cell, 1) && isCompleted(*cell, 10) && isCompleted(*cell, 11) && isCompleted(*cell, 12);
+    };
+    CHECK(runUntil(*cell, 6000, allCompleted));
+    CHECK(cell->jobs[keyNumber(1)].starts == 2);
+    CHECK(cell->broken.empty());
+}
+
+TEST_CASE("a configuration with hundreds of queues is in force everywhere, and never an older one again")
+{
+    const auto cell = makeBusyWorld("1500");
+    std::vector<queue_declaration> queues;
+    for (int number = 0; number < 400; ++number) {
+        queue_declaration queue = makeQueue(*cell);
+        queue.policy.queue = queue_id("idle" + std::to_string(number));
+        queue.pathPrefix = "/idle" + std::to_string(number) + "/";
+        queues.push_back(queue);
+    }
+    applyConfiguration(*cell, 7, queues);
+    runFor(*cell, 50);
+    // The queue of the running job is gone: it takes no new jobs, and what it has accepted goes on.
+    for (std::size_t daemon = 0; daemon < 3; ++daemon) {
+        submitJob(*cell, daemon, keyNumber(20 + daemon), oneStep(1, 1, "100"));
+        runFor(*cell, 50);
+        CHECK(cell->jobs[keyNumber(20 + daemon)].queueUnknown);
+    }
+    applyConfiguration(*cell, 3, {makeQueue(*cell)});
+    runFor(*cell, 50);
+    submitJob(*cell, 1, keyNumber(30), oneStep(1, 1, "100"));
+    runFor(*cell, 50);
+    CHECK(cell->jobs[keyNumber(30)].queueUnknown);
+    CHECK(runUntil(*cell, 4000, [&] { return isCompleted(*cell, 1); }));
+    CHECK(cell->broken.empty());
+}
+
+TEST_CASE("cancels that race starts leave nothing running")
+{
+    world cell({});
+    runFor(cell, 2000);
+    constexpr std::uint64_t jobs = 40;
+    for (std::uint64_t number = 1; number <= jobs; ++number) {
+        submitJob(cell, number % 3, keyNumber(number), oneStep(1, 1, "8000"));
+    }
+    // The cancels reach the store between the acceptance, the note and the start of the jobs.
+    for (std::uint64_t number = 1; number <= jobs; ++number) {
+        runFor(cell, 1);
+        cancelJobAt(cell, (number + 1) % 3, keyNumber(number));
+    }
+    runFor(cell, 1500);
+    for (std::uint64_t number = 1; number <= jobs; ++number) {
+        if (cell.jobs[keyNumber(number)].cancelled) {
+            CHECK(storedPhase(cell, keyNumber(number)) == job_phase::Cancelled);
+        }
+    }
+    for (const auto &worker : cell.workers) {
+        for (const auto &[task, run] : worker->running) {
+            CHECK_FALSE(cell.jobs[task.job].cancelled);
+        }
+    }
+    CHECK(cell.broken.empty());
+}
+
+TEST_CASE("a takeover writes nothing about jobs that have not changed")
+{
+    // A new leader once wrote every restored job again, which delayed the first starts of its term.
+    const auto cell = makeBusyWorld("9000");
+    const std::uint64_t before = cell->items.at(cell_keys::progress(keyNumber(1))).revision;
+    killDaemon(*cell, *leaderOf(*cell));
+    REQUIRE(runUntil(*cell, 4000, [&] { return leaderOf(*cell).has_value(); }));
+    runFor(*cell, 2000);
+    CHECK(cell->items.at(cell_keys::progress(keyNumber(1))).revision == before);
+    CHECK(runUntil(*cell, 9000, [&] { return isCompleted(*cell, 1); }));
+    CHECK(cell->jobs[keyNumber(1)].starts == 2);
+}
--- a/test/error/platform_input.cpp
+++ b/test/error/platform_input.cpp
@@ -1,6 +1,6 @@
 // What the platform's interfaces may send. Guards against entries of other writers, missing fields and unreadable
 // bytes that name something to use, and against malformed jobs that are stored.
-#include "platform/base64.h"
+#include "connection/base64.h"
 #include "platform/caller_front.h"
 #include "platform/operator_configuration.h"
 #include "platform/platform_settings.h"
--- a/test/fuzz/leader_model.cpp
+++ b/test/fuzz/leader_model.cpp
@@ -2,12 +2,12 @@
 // workers, with calls that are lost, doubled and delayed, frozen and killed daemons, and workers that
 // restart or leave. Guards against two running copies of a task, a second start of a task that must not be
 // repeated, an overfilled VM, and an answer that the workers' witness contradicts.
-#include "process/leader.h"
-#include "process/leader_requests.h"
-#include "process/leadership.h"
-#include "process/recovery.h"
 #include "standins/witness.h"
 #include "standins/worker_state.h"
+#include "term/leader.h"
+#include "term/leader_requests.h"
+#include "term/leadership.h"
+#include "term/recovery.h"
 
 #include <glog/logging.h>
 #include <rapidcheck/catch.h>
