Explain a request from the logs of the daemons

Cause: an engineer with the id of a failed request had to search the output of all daemons and put the lines in order. Change: `sesamespar explain ID FILE...` prints the request's lines by time, what happened meanwhile to the leader, the store and the request's workers, and what the lines do not tell.

--- a/apps/sesamespar/command_line.cpp
+++ b/apps/sesamespar/command_line.cpp
@@ -11,12 +11,14 @@
 #include <array>
 #include <iostream>
 #include <memory>
+#include <sstream>
 
 namespace sesamespar {
 
 namespace {
 
 constexpr std::size_t maxDaemons = 100;
+constexpr std::string_view repeatMark = "...";
 constexpr milliseconds longestLimit{3600000};
 
 /// Values by which popt tells which option it met.
@@ -189,7 +191,7 @@
 {
     std::cout << "Usage: sesamespar VERB [OPTION...] [ARGUMENT]\n\nVerbs:\n";
     for (const command_verb &verb : verbs) {
-        const std::string form = verb.name + (verb.argument.empty() ? "" : ' ' + verb.argument);
+        const std::string form = verb.name + (verb.arguments.empty() ? "" : ' ' + verb.arguments);
         std::cout << "  " << form << std::string(form.size() < 20 ? 20 - form.size() : 1, ' ') << verb.summary << '\n';
     }
     std::cout << "\nsesamespar VERB --help lists the options of a verb.\n"
@@ -212,7 +214,7 @@
 exit_status printVerbHelp(poptContext context, const command_verb &verb)
 {
     std::cout << verb.summary << '\n' << std::flush;
-    poptSetOtherOptionHelp(context, (verb.name + " [OPTION...] " + verb.argument).c_str());
+    poptSetOtherOptionHelp(context, (verb.name + " [OPTION...] " + verb.arguments).c_str());
     poptPrintHelp(context, stdout, 0);
     return exit_status::Done;
 }
@@ -234,11 +236,16 @@
 /// Checks the arguments after the verb; empty text if they are right.
 std::string checkArguments(const command_verb &verb, const command_options &options)
 {
-    const std::size_t expected = verb.argument.empty() ? 0 : 1;
-    if (options.arguments.size() < expected) {
-        return verb.argument + " is missing";
+    std::istringstream words(verb.arguments);
+    std::size_t expected = 0;
+    bool repeats = false;
+    for (std::string name; words >> name; ++expected) {
+        repeats = name.ends_with(repeatMark);
+        if (options.arguments.size() <= expected) {
+            return name.substr(0, name.size() - (repeats ? repeatMark.size() : 0)) + " is missing";
+        }
     }
-    if (options.arguments.size() > expected) {
+    if (options.arguments.size() > expected && !repeats) {
         return "unexpected argument " + quoteForMessage(options.arguments[expected]);
     }
     return "";
--- a/apps/sesamespar/command_line.h
+++ b/apps/sesamespar/command_line.h
@@ -44,7 +44,7 @@
 /// One verb of the command.
 struct command_verb {
     std::string name;
-    std::string argument; ///< Name of its one argument in the help; empty if it takes none.
+    std::string arguments; ///< Names of its arguments in the help; one that ends with "..." may be repeated.
     std::string summary; ///< One sentence.
     std::vector<option_group> groups;
     exit_status (*run)(const command_options &options);
--- a/apps/sesamespar/main.cpp
+++ b/apps/sesamespar/main.cpp
@@ -1,6 +1,7 @@
 // The command of operators and callers.
 #include "command_line.h"
 #include "configuration_commands.h"
+#include "explain_command.h"
 #include "job_commands.h"
 #include "node_commands.h"
 
@@ -11,7 +12,7 @@
 
 using namespace sesamespar;
 
-std::array<command_verb, 10> makeVerbs()
+std::array<command_verb, 11> makeVerbs()
 {
     using enum option_group;
     return {{
@@ -25,6 +26,7 @@
         {"nodes", "", "Print the daemons and workers that a daemon sees.", {Daemon}, runNodes},
         {"dump", "", "Print the state of a daemon.", {Daemon}, runDump},
         {"metrics", "", "Print the metrics of a daemon.", {Daemon}, runMetrics},
+        {"explain", "ID FILE...", "Print the life of a request from log files of daemons.", {}, runExplain},
     }};
 }
 
--- /dev/null
+++ b/packages/base/log_line.cpp
@@ -0,0 +1,112 @@
+#include "base/log_line.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace sesamespar {
+
+namespace {
+
+constexpr std::string_view timeKey = "time_ms=";
+constexpr std::string_view levelKey = "level=";
+constexpr std::string_view eventKey = "event=";
+
+/// Takes a quoted value, whose opening quote was taken already.
+std::string takeQuoted(std::string_view &rest)
+{
+    std::string value;
+    while (!rest.empty()) {
+        const char c = rest.front();
+        rest.remove_prefix(1);
+        if (c == '"') {
+            break;
+        }
+        if (c == '\\' && !rest.empty()) {
+            value += rest.front();
+            rest.remove_prefix(1);
+        } else {
+            value += c;
+        }
+    }
+    return value;
+}
+
+std::string takePlain(std::string_view &rest)
+{
+    const std::size_t end = std::min(rest.find(' '), rest.size());
+    std::string value(rest.substr(0, end));
+    rest.remove_prefix(end);
+    return value;
+}
+
+/// Takes the next KEY=VALUE; nothing at the end of the line.
+std::optional<std::pair<std::string, std::string>> takeField(std::string_view &rest)
+{
+    rest.remove_prefix(std::min(rest.find_first_not_of(' '), rest.size()));
+    const std::size_t equals = rest.find('=');
+    if (equals == std::string_view::npos) {
+        return std::nullopt;
+    }
+    std::string key(rest.substr(0, equals));
+    rest.remove_prefix(equals + 1);
+    if (rest.starts_with('"')) {
+        rest.remove_prefix(1);
+        return std::pair(std::move(key), takeQuoted(rest));
+    }
+    return std::pair(std::move(key), takePlain(rest));
+}
+
+std::string_view trim(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t[");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    const std::size_t last = text.find_last_not_of(" \t]:|");
+    return text.substr(first, last - first + 1);
+}
+
+/// Where the line's own fields begin: at its time, its level or its event.
+std::size_t beginOf(std::string_view text)
+{
+    return std::min({text.find(timeKey), text.find(levelKey), text.find(eventKey)});
+}
+
+} // namespace
+
+std::optional<log_line> parseLogLine(std::string_view text)
+{
+    while (text.ends_with('\n') || text.ends_with('\r')) {
+        text.remove_suffix(1);
+    }
+    if (text.find(eventKey) == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::size_t begin = beginOf(text);
+    log_line line;
+    line.source = trim(text.substr(0, begin));
+    text.remove_prefix(begin);
+    while (auto field = takeField(text)) {
+        auto &[key, value] = *field;
+        if (key == "time_ms" && line.timeMs == 0) {
+            std::from_chars(value.data(), value.data() + value.size(), line.timeMs);
+        } else if (key == "event" && line.event.empty()) {
+            line.event = std::move(value);
+        } else {
+            line.fields.push_back(std::move(*field));
+        }
+    }
+    if (line.event.empty()) {
+        return std::nullopt;
+    }
+    return line;
+}
+
+std::string fieldOf(const log_line &line, std::string_view key)
+{
+    const auto found =
+        std::find_if(line.fields.begin(), line.fields.end(), [key](const auto &field) { return field.first == key; });
+    return found == line.fields.end() ? std::string() : found->second;
+}
+
+} // namespace sesamespar
--- a/test/error/command_line.cpp
+++ b/test/error/command_line.cpp
@@ -55,6 +55,8 @@
     checkUsage("check", "FILE is missing; see sesamespar check --help");
     checkUsage("status", "TEAM/KEY is missing; see sesamespar status --help");
     checkUsage("check a b", "unexpected argument \"b\"; see sesamespar check --help");
+    checkUsage("explain", "ID is missing; see sesamespar explain --help");
+    checkUsage("explain 5aa37524e8a79364", "FILE is missing; see sesamespar explain --help");
     checkUsage("nodes x", "unexpected argument \"x\"; see sesamespar nodes --help");
     checkUsage("check --daemon 127.0.0.1:1 f", "--daemon: unknown option; see sesamespar check --help");
     checkUsage("show --daemon", "--daemon: missing argument; see sesamespar show --help");
@@ -148,7 +150,7 @@
 TEST_CASE("help and version end with status 0")
 {
     for (const std::string verb :
-         {"", "check", "apply", "show", "submit", "status", "cancel", "drain", "nodes", "dump", "metrics"}) {
+         {"", "check", "apply", "show", "submit", "status", "cancel", "drain", "nodes", "dump", "metrics", "explain"}) {
         const run_result help = runForResult(verb + " --help");
         CHECK(help.status == 0);
         CHECK(help.output.find("Usage: sesamespar " + (verb.empty() ? "VERB" : verb)) != std::string::npos);
