--- a/packages/connection/cell_codec.cpp
+++ b/packages/connection/cell_codec.cpp
@@ -173,12 +173,11 @@
 result<job_phase> phaseOf(const json_object &object)
 {
     const std::string name = object.text("state");
-    for (const job_phase phase : phases) {
-        if (name == phaseName(phase)) {
-            return phase;
-        }
+    const auto phase = phaseOfName(name);
+    if (!phase) {
+        return makeError(error_kind::InvalidInput, "job progress has the unknown state \"" + name + "\"");
     }
-    return makeError(error_kind::InvalidInput, "job progress has the unknown state \"" + name + "\"");
+    return *phase;
 }
 
 } // namespace
--- a/packages/connection/cell_context.h
+++ b/packages/connection/cell_context.h
@@ -6,7 +6,7 @@
 #include "connection/advice_port.h"
 #include "connection/cell_metrics.h"
 #include "connection/discovery_port.h"
-#include "connection/hand_message.h"
+#include "connection/daemon_message.h"
 #include "connection/store_port.h"
 #include "connection/worker_port.h"
 
@@ -36,7 +36,7 @@
     discovery_port discovery;
     configuration_port configuration;
     /// Sends a message to another daemon; it is lost if the daemon cannot be reached.
-    std::function<void(const address &to, const hand_message &)> sendToPeer;
+    std::function<void(const address &to, const daemon_message &)> sendToPeer;
     mailbox box;
     timer_service timers;
     metrics_ptr counters = makeMetrics();
--- a/packages/connection/hand_message.cpp
+++ b/packages/connection/daemon_message.cpp
@@ -1,16 +1,22 @@
-#include "connection/hand_message.h"
+#include "connection/daemon_message.h"
 
 #include "connection/json_reader.h"
 
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
+#include <array>
+
 namespace sesamespar {
 
 namespace {
 
 using json_writer = rapidjson::Writer<rapidjson::StringBuffer>;
 
+/// Names of the messages, in the order of the variant.
+constexpr std::array<const char *, 4> messageTypes{
+    "advice_question", "advice_answer", "status_question", "status_answer"};
+
 void writeMessage(json_writer &writer, const hand_question &message)
 {
     writer.Key("answerTo");
@@ -42,6 +48,22 @@
     writer.EndArray();
 }
 
+void writeMessage(json_writer &writer, const status_question &message)
+{
+    writer.Key("answerTo");
+    writer.String(message.answerTo.value);
+    writer.Key("job");
+    writer.String(message.job.value);
+}
+
+void writeMessage(json_writer &writer, const status_answer &message)
+{
+    if (message.phase) {
+        writer.Key("state");
+        writer.String(phaseName(*message.phase));
+    }
+}
+
 hand_question readQuestion(const json_object &object, correlation_id correlation)
 {
     hand_question message;
@@ -73,13 +95,25 @@
     return message;
 }
 
+status_question readStatusQuestion(const json_object &object, correlation_id correlation)
+{
+    return {correlation, address(object.text("answerTo")), job_key(object.text("job"))};
+}
+
+status_answer readStatusAnswer(const json_object &object, correlation_id correlation)
+{
+    return {correlation, phaseOfName(object.text("state"))};
+}
+
 } // namespace
 
-std::string encodeHandMessage(const hand_message &message)
+std::string encodeDaemonMessage(const daemon_message &message)
 {
     rapidjson::StringBuffer buffer;
     json_writer writer(buffer);
     writer.StartObject();
+    writer.Key("type");
+    writer.String(messageTypes.at(message.index()));
     writer.Key("correlation");
     writer.Uint64(std::visit([](const auto &single) { return single.correlation.value; }, message));
     std::visit([&writer](const auto &single) { writeMessage(writer, single); }, message);
@@ -87,7 +121,7 @@
     return {buffer.GetString(), buffer.GetSize()};
 }
 
-result<hand_message> decodeHandMessage(std::string_view bytes)
+result<daemon_message> decodeDaemonMessage(std::string_view bytes)
 {
     json_document document(bytes);
     const auto object = document.object();
@@ -95,10 +129,20 @@
         return makeError(error_kind::InvalidInput, "message between daemons is not an object with a correlation");
     }
     const correlation_id correlation(static_cast<std::uint64_t>(object->number("correlation", 0)));
-    if (object->find("workers") != nullptr) {
-        return hand_message(readQuestion(*object, correlation));
+    const std::string type = object->text("type");
+    if (type == messageTypes[0]) {
+        return daemon_message(readQuestion(*object, correlation));
+    }
+    if (type == messageTypes[1]) {
+        return daemon_message(readAnswer(*object, correlation));
+    }
+    if (type == messageTypes[2]) {
+        return daemon_message(readStatusQuestion(*object, correlation));
+    }
+    if (type == messageTypes[3]) {
+        return daemon_message(readStatusAnswer(*object, correlation));
     }
-    return hand_message(readAnswer(*object, correlation));
+    return makeError(error_kind::InvalidInput, "message between daemons of unknown type \"" + type + "\"");
 }
 
 } // namespace sesamespar
--- /dev/null
+++ b/packages/connection/daemon_message.h
@@ -0,0 +1,52 @@
+// Messages between the daemons of a cell: the leader has others ask the advisor on its behalf, and the others ask the
+// leader for the states of jobs.
+#pragma once
+
+#include "connection/advice_port.h"
+#include "request/job_progress.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace sesamespar {
+
+/// Ask the advisor and send the answer back.
+struct hand_question {
+    correlation_id correlation;
+    address answerTo;
+    milliseconds limit{0}; ///< The leader waits no longer.
+    advice_question question;
+};
+
+/// The answer, or why there is none.
+struct hand_answer {
+    correlation_id correlation;
+    std::string problem; ///< Empty if answered.
+    advice_answer answer;
+};
+
+/// Ask the leader for the state of a job.
+struct status_question {
+    correlation_id correlation;
+    address answerTo;
+    job_key job;
+};
+
+/// The state as the store has it, or nothing if the asked daemon cannot tell.
+struct status_answer {
+    correlation_id correlation;
+    std::optional<job_phase> phase;
+};
+
+/// Any of them.
+using daemon_message = std::variant<hand_question, hand_answer, status_question, status_answer>;
+
+/// Bytes of a message.
+std::string encodeDaemonMessage(const daemon_message &message);
+
+/// Errors: InvalidInput.
+result<daemon_message> decodeDaemonMessage(std::string_view bytes);
+
+} // namespace sesamespar
--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -103,6 +103,7 @@
 void takeCellItem(cell_daemon &daemon, const store_item &item, const clock_reading &now)
 {
     if (item.key == cell_keys::leader) {
+        daemon.leaderName = daemon_id(item.value.substr(0, item.value.find(' ')));
         noteLeaderKey(*daemon.election, item, now);
     } else if (item.key == cell_keys::term) {
         noteTermKey(*daemon.election, item, now);
@@ -121,6 +122,7 @@
 void takeCellRemoval(cell_daemon &daemon, const std::string &key, const clock_reading &now)
 {
     if (key == cell_keys::leader) {
+        daemon.leaderName.reset();
         noteLeaderKey(*daemon.election, {key, {}, store_revision(0)}, now);
     } else if (key.starts_with(cell_keys::daemonPrefix)) {
         daemon.daemons.erase(daemon_id(key.substr(cell_keys::daemonPrefix.size())));
@@ -202,6 +204,13 @@
     };
 }
 
+void refuseWithoutStore(const cell_daemon &daemon, const job_key &key, const caller_done &done)
+{
+    addCount(*daemon.context.counters, cell_metrics::storeLostRefusals);
+    log_event("store_lost_refusal").with("job", key);
+    done(call_refused{"the store cannot be reached", storeRetryAfter});
+}
+
 void submitJob(cell_daemon &daemon,
                const caller_request &request,
                const submit_call &call,
@@ -234,6 +243,47 @@
            now);
 }
 
+/// Reads the state of a job from the store, or refuses at once while the store is lost.
+void readStatus(
+    cell_daemon &daemon, const job_key &key, milliseconds patience, caller_done done, const clock_reading &now)
+{
+    if (daemon.intake->storeLost) {
+        refuseWithoutStore(daemon, key, done);
+    } else {
+        queryJob(daemon.context, key, patience, std::move(done), now);
+    }
+}
+
+/// Answers with the state of a job: from memory if this daemon leads, else from the leader, else from the store.
+void answerStatus(
+    cell_daemon &daemon, const job_key &key, milliseconds patience, caller_done done, const clock_reading &now)
+{
+    if (daemon.leader) {
+        if (const auto phase = tellablePhase(*daemon.leader, key)) {
+            done(job_status{*phase});
+            return;
+        }
+    } else if (daemon.leaderName) {
+        const auto found = daemon.daemons.find(*daemon.leaderName);
+        if (found != daemon.daemons.end()) {
+            askStatus(daemon.statuses, found->second, key, patience, std::move(done), now);
+            return;
+        }
+    }
+    readStatus(daemon, key, patience, std::move(done), now);
+}
+
+/// Answers another daemon that asks the leader.
+void answerPeer(const cell_daemon &daemon, const status_question &asked)
+{
+    status_answer reply;
+    reply.correlation = asked.correlation;
+    if (daemon.leader) {
+        reply.phase = tellablePhase(*daemon.leader, asked.job);
+    }
+    daemon.context.sendToPeer(asked.answerTo, reply);
+}
+
 void endIfQuiet(cell_daemon &daemon, const clock_reading &now)
 {
     const bool served = now.uptime >= daemon.drainSince + daemon.context.settings.limits.drainTime;
@@ -251,6 +301,10 @@
     auto daemon = std::make_unique<cell_daemon>(context);
     cell_daemon *self = daemon.get();
     daemon->intake = std::make_shared<job_intake>(context);
+    daemon->statuses = std::make_shared<status_desk>(
+        context, [self](const job_key &key, milliseconds patience, caller_done done, const clock_reading &now) {
+            readStatus(*self, key, patience, std::move(done), now);
+        });
     election_sink sink;
     sink.won = [self](fencing_token fence, const clock_reading &now) {
         lead(*self, fence, now);
@@ -273,7 +327,7 @@
     return daemon;
 }
 
-void takeHandMessage(cell_daemon &daemon, const hand_message &message, const clock_reading &now)
+void takeDaemonMessage(cell_daemon &daemon, const daemon_message &message, const clock_reading &now)
 {
     if (const auto *answer = std::get_if<hand_answer>(&message)) {
         if (daemon.leader) {
@@ -284,6 +338,14 @@
         }
         return;
     }
+    if (const auto *question = std::get_if<status_question>(&message)) {
+        answerPeer(daemon, *question);
+        return;
+    }
+    if (const auto *status = std::get_if<status_answer>(&message)) {
+        takeStatusAnswer(*daemon.statuses, *status, now);
+        return;
+    }
     const auto &asked = std::get<hand_question>(message);
     daemon.context.advice.ask(
         asked.question,
@@ -328,16 +390,12 @@
         return;
     }
     const job_key key(rest);
-    if (daemon.intake->storeLost) {
-        addCount(*daemon.context.counters, cell_metrics::storeLostRefusals);
-        log_event("store_lost_refusal").with("job", key);
-        done(call_refused{"the store cannot be reached", storeRetryAfter});
-        return;
-    }
-    if (const auto *submit = std::get_if<submit_call>(&request.call)) {
+    if (std::holds_alternative<status_call>(request.call)) {
+        answerStatus(daemon, key, request.patience, countOpen(daemon, std::move(done)), now);
+    } else if (daemon.intake->storeLost) {
+        refuseWithoutStore(daemon, key, done);
+    } else if (const auto *submit = std::get_if<submit_call>(&request.call)) {
         submitJob(daemon, request, *submit, *queue, key, std::move(done), now);
-    } else if (std::holds_alternative<status_call>(request.call)) {
-        queryJob(daemon.context, key, request.patience, countOpen(daemon, std::move(done)), now);
     } else {
         requestCancel(daemon.context, key, request.patience, countOpen(daemon, std::move(done)), now);
     }
--- a/packages/process/cell_daemon.h
+++ b/packages/process/cell_daemon.h
@@ -5,6 +5,7 @@
 #include "connection/caller_port.h"
 #include "process/cell_election.h"
 #include "process/job_intake.h"
+#include "process/status_desk.h"
 #include "term/cell_leader.h"
 
 #include <atomic>
@@ -25,6 +26,8 @@
     std::shared_ptr<cell_election> election;
     std::shared_ptr<cell_leader> leader; ///< Null unless this daemon leads.
     std::shared_ptr<job_intake> intake;
+    std::shared_ptr<status_desk> statuses;
+    std::optional<daemon_id> leaderName; ///< Holder of the leader's key, if it is known.
     cell_load load;
     std::map<daemon_id, address> daemons;
 
@@ -42,7 +45,7 @@
 std::unique_ptr<cell_daemon> startCellDaemon(cell_context &context);
 
 /// Takes a message of another daemon.
-void takeHandMessage(cell_daemon &daemon, const hand_message &message, const clock_reading &now);
+void takeDaemonMessage(cell_daemon &daemon, const daemon_message &message, const clock_reading &now);
 
 /// Takes a request of a caller. `done` is called once, perhaps later.
 void takeCallerRequest(cell_daemon &daemon, caller_request request, caller_done done, const clock_reading &now);
--- a/packages/request/job_progress.cpp
+++ b/packages/request/job_progress.cpp
@@ -8,6 +8,17 @@
     return names[static_cast<std::size_t>(phase)];
 }
 
+std::optional<job_phase> phaseOfName(std::string_view name)
+{
+    for (const job_phase phase :
+         {job_phase::Queued, job_phase::Running, job_phase::Completed, job_phase::Failed, job_phase::Cancelled}) {
+        if (name == phaseName(phase)) {
+            return phase;
+        }
+    }
+    return std::nullopt;
+}
+
 bool isFinal(job_phase phase)
 {
     return phase == job_phase::Completed || phase == job_phase::Failed || phase == job_phase::Cancelled;
--- a/packages/request/job_progress.h
+++ b/packages/request/job_progress.h
@@ -6,7 +6,9 @@
 #include "base/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sesamespar {
@@ -23,6 +25,9 @@
 /// Name of a phase in the store, in logs and to callers: queued, running, completed, failed, cancelled.
 const char *phaseName(job_phase phase);
 
+/// Phase of that name, or nothing.
+std::optional<job_phase> phaseOfName(std::string_view name);
+
 /// True if the job needs no more work.
 bool isFinal(job_phase phase);
 
--- a/packages/term/cell_leader.cpp
+++ b/packages/term/cell_leader.cpp
@@ -102,6 +102,23 @@
     writeChanges(leader, now);
 }
 
+std::optional<job_phase> tellablePhase(const cell_leader &leader, const job_key &key)
+{
+    if (leader.ended || !leader.recovered) {
+        return std::nullopt;
+    }
+    if (const auto done = leader.finished.find(key); done != leader.finished.end()) {
+        return done->second.phase;
+    }
+    const auto found = leader.state.jobs.find(key);
+    if (found == leader.state.jobs.end()) {
+        return std::nullopt;
+    }
+    const cell_job &job = *found->second;
+    const bool stored = job.storedChanges == job.changes;
+    return isFinal(job.progress.phase) && !stored ? job_phase::Running : job.progress.phase;
+}
+
 void setHands(cell_leader &leader, const std::map<daemon_id, address> &daemons)
 {
     std::erase_if(leader.hands, [&](const auto &hand) {
--- a/packages/term/cell_leader.h
+++ b/packages/term/cell_leader.h
@@ -38,6 +38,12 @@
     time_point dueAt; ///< In uptime.
 };
 
+/// A final job whose progress the store keeps for callers that ask.
+struct finished_job {
+    job_phase phase = job_phase::Completed;
+    utc_time ended;
+};
+
 /// The term.
 struct cell_leader : std::enable_shared_from_this<cell_leader> {
     explicit cell_leader(cell_context &means)
@@ -59,7 +65,7 @@
     std::shared_ptr<store_mirror> jobs;
     follow_handle workerList;
     std::map<job_key, std::pair<job_progress, store_revision>> recoveredProgress;
-    std::map<job_key, std::pair<utc_time, store_revision>> finished; ///< Final jobs whose progress is kept.
+    std::map<job_key, finished_job> finished; ///< Final jobs whose progress is kept.
 
     unsigned openCommits = 0;
     timer commitTimer;
@@ -90,6 +96,10 @@
 /// Runs after each batch of events: places what waits, writes what has changed, sends stops.
 void settleTerm(const std::shared_ptr<cell_leader> &leader, const clock_reading &now);
 
+/// State of a job as callers may be told it: a final state only once the store holds it. Nothing if this term does not
+/// know the job.
+std::optional<job_phase> tellablePhase(const cell_leader &leader, const job_key &key);
+
 /// Sets the daemons that ask the advisor on behalf of the leader, besides itself.
 void setHands(cell_leader &leader, const std::map<daemon_id, address> &daemons);
 
--- a/packages/term/cell_recovery.cpp
+++ b/packages/term/cell_recovery.cpp
@@ -118,7 +118,7 @@
     transaction.conditions.push_back({cell_keys::term, store_revision(leader->fence.value)});
     const std::int64_t oldest = now.utc.value - 2 * milliseconds(leader->context.settings.limits.keepFinished).count();
     for (const auto &[key, entry] : leader->finished) {
-        if (entry.first.value < oldest && transaction.removals.size() < sweepBatch) {
+        if (entry.ended.value < oldest && transaction.removals.size() < sweepBatch) {
             transaction.removals.push_back(cell_keys::progress(key));
         }
     }
@@ -183,7 +183,7 @@
             .with("key", item.key)
             .with("problem", progress.error().message);
     } else if (isFinal(progress.value().phase)) {
-        leader.finished[key] = {progress.value().ended, item.revision};
+        leader.finished[key] = {progress.value().phase, progress.value().ended};
     } else {
         leader.recoveredProgress[key] = {std::move(progress.value()), item.revision};
     }
--- a/packages/term/load_report.cpp
+++ b/packages/term/load_report.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/// Callers may see a count that is 2 s old; this leaves room for a lost answer and a slow watch.
-constexpr milliseconds loadPeriod{600};
+/// Callers may see a count that is 2 s old; this leaves room for a lost answer and a slow watch. Each report costs a
+/// call of the leader and one of each daemon that follows it.
+constexpr milliseconds loadPeriod{1000};
 constexpr milliseconds loadLimit{1000};
 
 void takeWritten(const std::shared_ptr<cell_leader> &leader, time_point sentAt, const result<store_commit> &commit)
--- a/packages/term/progress_writer.cpp
+++ b/packages/term/progress_writer.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
-/// Changes are collected for this long before they are written. The store takes about 4 ms for a call, so waits grow
-/// little, and a busy leader stays far below the store's rate of writes.
-constexpr milliseconds collectTime{12};
+/// Changes are collected for this long before they are written. Half of it is added to the wait of a task, whose urgent
+/// kinds have 250 ms beyond their work; a busy leader makes about 30 calls a second instead of 60 with 12 ms.
+constexpr milliseconds collectTime{30};
 /// Transactions under way at a time, so that a lost answer holds up only the jobs in its transaction.
 constexpr unsigned maxOpenCommits = 4;
 /// Limit of the platform on the conditions, writes and removals of one transaction.
@@ -115,7 +115,7 @@
         job.storedChanges = entry.change;
         if (entry.removed) {
             job.jobRevision = store_revision(0);
-            leader->finished[job.accepted.key] = {job.progress.ended, revision};
+            leader->finished[job.accepted.key] = {job.progress.phase, job.progress.ended};
         }
         startNotedRuns(leader, job, now);
         forgetIfOver(leader->state, job);
--- a/test/error/cell_failures.cpp
+++ b/test/error/cell_failures.cpp
@@ -406,3 +406,86 @@
     CHECK(runUntil(*cell, 9000, [&] { return isCompleted(*cell, 1); }));
     CHECK(cell->jobs[keyNumber(1)].starts == 2);
 }
+
+TEST_CASE("the leader answers for the state of a job, and a final state only once it is stored")
+{
+    // Each question once cost a call to the store, a third of all calls of a calm day.
+    world cell({});
+    runFor(cell, 2000);
+    const std::size_t leader = *leaderOf(cell);
+    const std::size_t other = (leader + 1) % 3;
+    submitJob(cell, other, keyNumber(1), oneStep(1, 1, "400"));
+    std::vector<job_phase> seen;
+    const auto ask = [&](std::size_t daemon) {
+        const std::uint64_t before = cell.storeReads;
+        std::optional<caller_answer> answered;
+        queryJobAt(cell, daemon, keyNumber(1), [&](const caller_answer &given) { answered = given; });
+        runFor(cell, 10);
+        REQUIRE(answered);
+        REQUIRE(std::holds_alternative<job_status>(*answered));
+        CHECK(cell.storeReads == before);
+        const job_phase phase = std::get<job_status>(*answered).phase;
+        if (isFinal(phase)) {
+            CHECK(storedPhase(cell, keyNumber(1)) == phase);
+        }
+        return phase;
+    };
+    runFor(cell, 60);
+    CHECK(ask(other) == job_phase::Running);
+    // While transactions get no answer, the leader has seen the end and the store has not.
+    cell.lostStoreAnswers = 1;
+    runFor(cell, 500);
+    CHECK(ask(leader) == job_phase::Running);
+    cell.lostStoreAnswers = 0;
+    REQUIRE(runUntil(cell, 4000, [&] { return isCompleted(cell, 1); }));
+    runFor(cell, 1500);
+    CHECK(ask(leader) == job_phase::Completed);
+    CHECK(ask(other) == job_phase::Completed);
+}
+
+TEST_CASE("without an answer of the leader the store is read")
+{
+    world cell({});
+    runFor(cell, 2000);
+    const std::size_t leader = *leaderOf(cell);
+    submitJob(cell, leader, keyNumber(1), oneStep(1, 1, "100"));
+    REQUIRE(runUntil(cell, 2000, [&] { return isCompleted(cell, 1); }));
+    freezeDaemon(cell, leader);
+    std::optional<caller_answer> answered;
+    queryJobAt(cell, (leader + 1) % 3, keyNumber(1), [&](const caller_answer &given) { answered = given; });
+    runFor(cell, 300);
+    REQUIRE(answered);
+    CHECK(std::get<job_status>(*answered).phase == job_phase::Completed);
+    // A job that nobody knows is not there, whoever is asked.
+    thawDaemon(cell, leader);
+    runFor(cell, 3000);
+    answered.reset();
+    queryJobAt(cell, (leader + 1) % 3, keyNumber(77), [&](const caller_answer &given) { answered = given; });
+    runFor(cell, 300);
+    REQUIRE(answered);
+    CHECK(std::holds_alternative<no_such_job>(*answered));
+}
+
+TEST_CASE("a start without an answer is not taken back when its worker falls silent")
+{
+    // Such a run was once given up without a stop: its order, carried out seconds later, ran the task a second time
+    // (seed 503 of cell_model).
+    world_settings settings;
+    settings.workers = 2;
+    world cell(settings);
+    runFor(cell, 2000);
+    cell.workers[0]->reachable = false;
+    cell.lateOrders = 1;
+    constexpr std::uint64_t jobs = 16;
+    for (std::uint64_t number = 1; number <= jobs; ++number) {
+        submitJob(cell, 0, keyNumber(number), oneStep(1, 1, "300"));
+        runFor(cell, 100);
+    }
+    cell.lateOrders = 0;
+    cell.workers[0]->reachable = true;
+    runFor(cell, 20000);
+    for (std::uint64_t number = 1; number <= jobs; ++number) {
+        CHECK(isCompleted(cell, number));
+    }
+    CHECK(cell.broken.empty());
+}
--- a/test/fuzz/cell_model.cpp
+++ b/test/fuzz/cell_model.cpp
@@ -49,7 +49,7 @@
     const std::size_t daemon = pickDaemon(cell);
     const std::size_t leader = leaderOf(cell).value_or(daemon);
     const auto worker = static_cast<std::size_t>(pick(cell, 0, static_cast<std::int64_t>(cell.workers.size()) - 1));
-    switch (pick(cell, 0, 13)) {
+    switch (pick(cell, 0, 16)) {
     case 0:
         replaceDaemon(cell, leader);
         break;
@@ -92,6 +92,20 @@
         cell.historyFrom = cell.revision;
         cell.history.clear();
         break;
+    case 13:
+        cell.workers[worker]->answers = !cell.workers[worker]->answers;
+        break;
+    case 14:
+        cell.workers[worker]->draining = !cell.workers[worker]->draining;
+        listWorker(cell, worker);
+        break;
+    case 15:
+        if (cell.cutDataCentre) {
+            cell.cutDataCentre.reset();
+        } else {
+            cell.cutDataCentre = static_cast<std::size_t>(pick(cell, 0, 2));
+        }
+        break;
     default:
         post(cell.daemons[daemon]->context->box,
              [&cell, daemon](const clock_reading &now) { drainCellDaemon(*cell.daemons[daemon]->daemon, now); });
@@ -106,8 +120,12 @@
     cell.lostStoreAnswers = 0;
     cell.lateStoreWrites = 0;
     cell.lateOrders = 0;
-    for (const auto &worker : cell.workers) {
-        worker->reachable = true;
+    cell.cutDataCentre.reset();
+    for (std::size_t number = 0; number < cell.workers.size(); ++number) {
+        cell.workers[number]->reachable = true;
+        cell.workers[number]->answers = true;
+        cell.workers[number]->draining = false;
+        listWorker(cell, number);
     }
     for (std::size_t number = 0; number < cell.daemons.size(); ++number) {
         cell.daemons[number]->cutFromStore = false;
