Relay jobs of a daemon that alone has lost the store

Ruled out: taking the daemon out of rotation, which it already asks for; open connections stay. Change: such a daemon probes the others every 250 ms and hands jobs to one that has offered its help within 700 ms. Without an offer it refuses at once as before; without an answer within a second the outcome is unknown, never a refusal, and the job stays one job under its key. Messages between daemons carry their type. Requests of callers and messages of daemons are handled in cell_requests, apart from the start and the membership of a daemon.

--- a/packages/connection/cell_metrics.h
+++ b/packages/connection/cell_metrics.h
@@ -13,6 +13,7 @@
 constexpr std::string_view jobsMalformed = "job_answers{outcome=\"malformed\"}";
 constexpr std::string_view noQueue = "requests_without_queue";
 constexpr std::string_view storeLostRefusals = "store_lost_refusals";
+constexpr std::string_view jobsRelayed = "jobs_relayed";
 constexpr std::string_view statusQuestions = "status_questions";
 constexpr std::string_view statusOverdue = "status_questions_overdue";
 constexpr std::string_view intakeWritesFailed = "intake_writes_failed";
--- a/packages/connection/daemon_message.cpp
+++ b/packages/connection/daemon_message.cpp
@@ -5,6 +5,7 @@
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
+#include <algorithm>
 #include <array>
 
 namespace sesamespar {
@@ -13,18 +14,27 @@
 
 using json_writer = rapidjson::Writer<rapidjson::StringBuffer>;
 
-/// Names of the messages, in the order of the variant.
-constexpr std::array<const char *, 4> messageTypes{
-    "advice_question", "advice_answer", "status_question", "status_answer"};
+constexpr std::array<const char *, 3> relayResults{"stored", "refused", "unknown"};
+
+void writeCorrelation(json_writer &writer, correlation_id correlation)
+{
+    writer.Key("correlation");
+    writer.Uint64(correlation.value);
+}
+
+void writeText(json_writer &writer, const char *key, const std::string &value)
+{
+    writer.Key(key);
+    writer.String(value);
+}
 
 void writeMessage(json_writer &writer, const hand_question &message)
 {
-    writer.Key("answerTo");
-    writer.String(message.answerTo.value);
+    writeCorrelation(writer, message.correlation);
+    writeText(writer, "answerTo", message.answerTo.value);
     writer.Key("limit");
     writer.Int64(message.limit.count());
-    writer.Key("job");
-    writer.String(message.question.step.job.value);
+    writeText(writer, "job", message.question.step.job.value);
     writer.Key("step");
     writer.Uint(message.question.step.step);
     writer.Key("workers");
@@ -37,8 +47,8 @@
 
 void writeMessage(json_writer &writer, const hand_answer &message)
 {
-    writer.Key("problem");
-    writer.String(message.problem);
+    writeCorrelation(writer, message.correlation);
+    writeText(writer, "problem", message.problem);
     writer.Key("good");
     writer.StartArray();
     for (const advised_worker &good : message.answer.good) {
@@ -50,24 +60,56 @@
 
 void writeMessage(json_writer &writer, const status_question &message)
 {
-    writer.Key("answerTo");
-    writer.String(message.answerTo.value);
-    writer.Key("job");
-    writer.String(message.job.value);
+    writeCorrelation(writer, message.correlation);
+    writeText(writer, "answerTo", message.answerTo.value);
+    writeText(writer, "job", message.job.value);
 }
 
 void writeMessage(json_writer &writer, const status_answer &message)
 {
+    writeCorrelation(writer, message.correlation);
     if (message.phase) {
-        writer.Key("state");
-        writer.String(phaseName(*message.phase));
+        writeText(writer, "state", phaseName(*message.phase));
     }
 }
 
-hand_question readQuestion(const json_object &object, correlation_id correlation)
+void writeMessage(json_writer &writer, const relay_probe &message)
+{
+    writeText(writer, "answerTo", message.answerTo.value);
+}
+
+void writeMessage(json_writer &writer, const relay_offer &message)
+{
+    writeText(writer, "from", message.from.value);
+    writer.Key("usable");
+    writer.Bool(message.usable);
+}
+
+void writeMessage(json_writer &writer, const relayed_job &message)
+{
+    writeCorrelation(writer, message.correlation);
+    writeText(writer, "answerTo", message.answerTo.value);
+    writer.Key("limit");
+    writer.Int64(message.limit.count());
+    writeText(writer, "key", message.key.value);
+    writeText(writer, "job", message.job);
+}
+
+void writeMessage(json_writer &writer, const relay_outcome &message)
+{
+    writeCorrelation(writer, message.correlation);
+    writeText(writer, "result", relayResults.at(static_cast<std::size_t>(message.result)));
+}
+
+correlation_id correlationOf(const json_object &object)
+{
+    return correlation_id(static_cast<std::uint64_t>(object.number("correlation", 0)));
+}
+
+daemon_message readHandQuestion(const json_object &object)
 {
     hand_question message;
-    message.correlation = correlation;
+    message.correlation = correlationOf(object);
     message.answerTo.value = object.text("answerTo");
     message.limit = milliseconds(object.number("limit", 0));
     message.question.step.job.value = object.text("job");
@@ -80,10 +122,10 @@
     return message;
 }
 
-hand_answer readAnswer(const json_object &object, correlation_id correlation)
+daemon_message readHandAnswer(const json_object &object)
 {
     hand_answer message;
-    message.correlation = correlation;
+    message.correlation = correlationOf(object);
     message.problem = object.text("problem");
     const auto good = object.list("good");
     for (std::size_t index = 0; index + 1 < good.size(); index += 2) {
@@ -95,16 +137,61 @@
     return message;
 }
 
-status_question readStatusQuestion(const json_object &object, correlation_id correlation)
+daemon_message readStatusQuestion(const json_object &object)
+{
+    return status_question{correlationOf(object), address(object.text("answerTo")), job_key(object.text("job"))};
+}
+
+daemon_message readStatusAnswer(const json_object &object)
+{
+    return status_answer{correlationOf(object), phaseOfName(object.text("state"))};
+}
+
+daemon_message readProbe(const json_object &object)
+{
+    return relay_probe{address(object.text("answerTo"))};
+}
+
+daemon_message readOffer(const json_object &object)
+{
+    return relay_offer{address(object.text("from")), object.flag("usable")};
+}
+
+daemon_message readRelayedJob(const json_object &object)
 {
-    return {correlation, address(object.text("answerTo")), job_key(object.text("job"))};
+    return relayed_job{correlationOf(object),
+                       address(object.text("answerTo")),
+                       milliseconds(object.number("limit", 0)),
+                       job_key(object.text("key")),
+                       object.text("job")};
 }
 
-status_answer readStatusAnswer(const json_object &object, correlation_id correlation)
+daemon_message readOutcome(const json_object &object)
 {
-    return {correlation, phaseOfName(object.text("state"))};
+    const auto found = std::find(relayResults.begin(), relayResults.end(), object.text("result"));
+    const bool known = found != relayResults.end();
+    return relay_outcome{correlationOf(object),
+                         known ? static_cast<relay_result>(found - relayResults.begin()) : relay_result::Unknown};
 }
 
+/// A sort of message and how it is read.
+struct message_type {
+    const char *name;
+    daemon_message (*read)(const json_object &object);
+};
+
+/// In the order of the variant.
+constexpr std::array<message_type, std::variant_size_v<daemon_message>> messageTypes{{
+    {"advice_question", readHandQuestion},
+    {"advice_answer", readHandAnswer},
+    {"status_question", readStatusQuestion},
+    {"status_answer", readStatusAnswer},
+    {"relay_probe", readProbe},
+    {"relay_offer", readOffer},
+    {"relayed_job", readRelayedJob},
+    {"relay_outcome", readOutcome},
+}};
+
 } // namespace
 
 std::string encodeDaemonMessage(const daemon_message &message)
@@ -112,10 +199,7 @@
     rapidjson::StringBuffer buffer;
     json_writer writer(buffer);
     writer.StartObject();
-    writer.Key("type");
-    writer.String(messageTypes.at(message.index()));
-    writer.Key("correlation");
-    writer.Uint64(std::visit([](const auto &single) { return single.correlation.value; }, message));
+    writeText(writer, "type", messageTypes.at(message.index()).name);
     std::visit([&writer](const auto &single) { writeMessage(writer, single); }, message);
     writer.EndObject();
     return {buffer.GetString(), buffer.GetSize()};
@@ -125,24 +209,16 @@
 {
     json_document document(bytes);
     const auto object = document.object();
-    if (!object || object->find("correlation") == nullptr) {
-        return makeError(error_kind::InvalidInput, "message between daemons is not an object with a correlation");
+    if (!object) {
+        return makeError(error_kind::InvalidInput, "message between daemons is not a JSON object");
     }
-    const correlation_id correlation(static_cast<std::uint64_t>(object->number("correlation", 0)));
     const std::string type = object->text("type");
-    if (type == messageTypes[0]) {
-        return daemon_message(readQuestion(*object, correlation));
-    }
-    if (type == messageTypes[1]) {
-        return daemon_message(readAnswer(*object, correlation));
-    }
-    if (type == messageTypes[2]) {
-        return daemon_message(readStatusQuestion(*object, correlation));
-    }
-    if (type == messageTypes[3]) {
-        return daemon_message(readStatusAnswer(*object, correlation));
+    const auto found = std::find_if(
+        messageTypes.begin(), messageTypes.end(), [&type](const message_type &known) { return type == known.name; });
+    if (found == messageTypes.end()) {
+        return makeError(error_kind::InvalidInput, "message between daemons of unknown type \"" + type + "\"");
     }
-    return makeError(error_kind::InvalidInput, "message between daemons of unknown type \"" + type + "\"");
+    return found->read(*object);
 }
 
 } // namespace sesamespar
--- a/packages/connection/daemon_message.h
+++ b/packages/connection/daemon_message.h
@@ -1,5 +1,5 @@
-// Messages between the daemons of a cell: the leader has others ask the advisor on its behalf, and the others ask the
-// leader for the states of jobs.
+// Messages between the daemons of a cell: the leader has others ask the advisor on its behalf, the others ask the leader
+// for the states of jobs, and a daemon that has lost the store has another one store jobs.
 #pragma once
 
 #include "connection/advice_port.h"
@@ -40,8 +40,48 @@
     std::optional<job_phase> phase;
 };
 
+/// Could you store jobs for me?
+struct relay_probe {
+    address answerTo;
+};
+
+/// Whether the daemon reaches the store and takes jobs.
+struct relay_offer {
+    address from;
+    bool usable = false;
+};
+
+/// Store a job and send the outcome back.
+struct relayed_job {
+    correlation_id correlation;
+    address answerTo;
+    milliseconds limit{0}; ///< The outcome is of no use later.
+    job_key key;
+    std::string job; ///< As the store keeps accepted jobs.
+};
+
+/// What became of a relayed job.
+enum class relay_result {
+    Stored, ///< Now or before.
+    Refused, ///< It is not stored and will not be.
+    Unknown,
+};
+
+/// Tells what became of it.
+struct relay_outcome {
+    correlation_id correlation;
+    relay_result result = relay_result::Unknown;
+};
+
 /// Any of them.
-using daemon_message = std::variant<hand_question, hand_answer, status_question, status_answer>;
+using daemon_message = std::variant<hand_question,
+                                    hand_answer,
+                                    status_question,
+                                    status_answer,
+                                    relay_probe,
+                                    relay_offer,
+                                    relayed_job,
+                                    relay_outcome>;
 
 /// Bytes of a message.
 std::string encodeDaemonMessage(const daemon_message &message);
--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -3,8 +3,7 @@
 #include "base/log.h"
 #include "connection/cell_codec.h"
 #include "connection/cell_keys.h"
-#include "process/job_queries.h"
-#include "term/advice_desk.h"
+#include "process/cell_requests.h"
 
 #include <algorithm>
 
@@ -20,11 +19,6 @@
 constexpr milliseconds renewalLimit{600};
 /// Pause between two watches of the cell's keys.
 constexpr milliseconds cellWatchPause{60};
-/// Retry-After before the first configuration has arrived.
-constexpr milliseconds startRetryAfter{1000};
-/// Retry-After while the store cannot be reached. Outages last 4 to 9 s and callers come again four times, so that
-/// with 1 s their tries are used up before it is back.
-constexpr milliseconds storeRetryAfter{2000};
 /// Period in which a draining daemon looks whether its time is over and no request is open.
 constexpr milliseconds drainCheckPeriod{300};
 
@@ -188,100 +182,19 @@
     daemon.configuration = configuration;
 }
 
-/// Part of the path after the queue's prefix.
-std::string restOf(const caller_request &request, const queue_declaration &queue)
+/// While the store is lost, looks for a daemon that reaches it.
+void keepRelay(cell_daemon &daemon, const clock_reading &now)
 {
-    return request.path.substr(queue.pathPrefix.size());
-}
-
-/// Counts a request as open until it is answered.
-caller_done countOpen(cell_daemon &daemon, caller_done done)
-{
-    ++daemon.openRequests;
-    return [&daemon, done = std::move(done)](const caller_answer &answer) {
-        --daemon.openRequests;
-        done(answer);
-    };
-}
-
-void refuseWithoutStore(const cell_daemon &daemon, const job_key &key, const caller_done &done)
-{
-    addCount(*daemon.context.counters, cell_metrics::storeLostRefusals);
-    log_event("store_lost_refusal").with("job", key);
-    done(call_refused{"the store cannot be reached", storeRetryAfter});
-}
-
-void submitJob(cell_daemon &daemon,
-               const caller_request &request,
-               const submit_call &call,
-               const queue_declaration &queue,
-               const job_key &key,
-               caller_done done,
-               const clock_reading &now)
-{
-    if (!call.problem.empty()) {
-        addCount(*daemon.context.counters, cell_metrics::jobsMalformed);
-        log_event("job_malformed", log_level::Warning).with("job", key).with("problem", call.problem);
-        done(call_malformed{call.problem});
+    if (!daemon.intake->storeLost || daemon.draining) {
         return;
     }
-    const auto load = daemon.load.queues.find(queue.policy.queue);
-    if (load != daemon.load.queues.end() && load->second.refusing) {
-        log_event("job_refused")
-            .with("job", key)
-            .with("queue", queue.policy.queue)
-            .with("pending", load->second.pending)
-            .with("retry_after_ms", load->second.retryAfter.count());
-        addCount(*daemon.context.counters, cell_metrics::jobsRefused);
-        done(call_refused{"the queue is full", load->second.retryAfter});
-        return;
-    }
-    takeIn(*daemon.intake,
-           {key, call.job, queue.policy, now.utc},
-           request.patience,
-           countOpen(daemon, std::move(done)),
-           now);
-}
-
-/// Reads the state of a job from the store, or refuses at once while the store is lost.
-void readStatus(
-    cell_daemon &daemon, const job_key &key, milliseconds patience, caller_done done, const clock_reading &now)
-{
-    if (daemon.intake->storeLost) {
-        refuseWithoutStore(daemon, key, done);
-    } else {
-        queryJob(daemon.context, key, patience, std::move(done), now);
-    }
-}
-
-/// Answers with the state of a job: from memory if this daemon leads, else from the leader, else from the store.
-void answerStatus(
-    cell_daemon &daemon, const job_key &key, milliseconds patience, caller_done done, const clock_reading &now)
-{
-    if (daemon.leader) {
-        if (const auto phase = tellablePhase(*daemon.leader, key)) {
-            done(job_status{*phase});
-            return;
-        }
-    } else if (daemon.leaderName) {
-        const auto found = daemon.daemons.find(*daemon.leaderName);
-        if (found != daemon.daemons.end()) {
-            askStatus(daemon.statuses, found->second, key, patience, std::move(done), now);
-            return;
+    std::vector<address> others;
+    for (const auto &[name, at] : daemon.daemons) {
+        if (name != daemon.context.settings.name) {
+            others.push_back(at);
         }
     }
-    readStatus(daemon, key, patience, std::move(done), now);
-}
-
-/// Answers another daemon that asks the leader.
-void answerPeer(const cell_daemon &daemon, const status_question &asked)
-{
-    status_answer reply;
-    reply.correlation = asked.correlation;
-    if (daemon.leader) {
-        reply.phase = tellablePhase(*daemon.leader, asked.job);
-    }
-    daemon.context.sendToPeer(asked.answerTo, reply);
+    probeHelpers(daemon.relay, others, now);
 }
 
 void endIfQuiet(cell_daemon &daemon, const clock_reading &now)
@@ -301,6 +214,7 @@
     auto daemon = std::make_unique<cell_daemon>(context);
     cell_daemon *self = daemon.get();
     daemon->intake = std::make_shared<job_intake>(context);
+    daemon->relay = std::make_shared<job_relay>(context);
     daemon->statuses = std::make_shared<status_desk>(
         context, [self](const job_key &key, milliseconds patience, caller_done done, const clock_reading &now) {
             readStatus(*self, key, patience, std::move(done), now);
@@ -327,80 +241,6 @@
     return daemon;
 }
 
-void takeDaemonMessage(cell_daemon &daemon, const daemon_message &message, const clock_reading &now)
-{
-    if (const auto *answer = std::get_if<hand_answer>(&message)) {
-        if (daemon.leader) {
-            const result<advice_answer> outcome = answer->problem.empty()
-                ? result<advice_answer>(answer->answer)
-                : result<advice_answer>(makeError(error_kind::Unknown, answer->problem));
-            takeHandAnswer(*daemon.leader, answer->correlation, outcome, now);
-        }
-        return;
-    }
-    if (const auto *question = std::get_if<status_question>(&message)) {
-        answerPeer(daemon, *question);
-        return;
-    }
-    if (const auto *status = std::get_if<status_answer>(&message)) {
-        takeStatusAnswer(*daemon.statuses, *status, now);
-        return;
-    }
-    const auto &asked = std::get<hand_question>(message);
-    daemon.context.advice.ask(
-        asked.question,
-        asked.limit,
-        [&daemon, to = asked.answerTo, correlation = asked.correlation](result<advice_answer> answer) {
-            hand_answer reply;
-            reply.correlation = correlation;
-            if (answer) {
-                reply.answer = std::move(answer.value());
-            } else {
-                reply.problem = answer.error().message;
-            }
-            daemon.context.sendToPeer(to, reply);
-        });
-}
-
-void takeCallerRequest(cell_daemon &daemon, caller_request request, caller_done done, const clock_reading &now)
-{
-    if (!daemon.configuration) {
-        done(call_refused{"no configuration has been read yet", startRetryAfter});
-        return;
-    }
-    const queue_declaration *queue = findQueue(*daemon.configuration, request.host, request.path);
-    if (queue == nullptr) {
-        addCount(*daemon.context.counters, cell_metrics::noQueue);
-        log_event("no_such_queue")
-            .with("host", request.host)
-            .with("path", request.path)
-            .with("version", daemon.configuration->version);
-        done(no_such_queue{});
-        return;
-    }
-    const std::string rest = restOf(request, *queue);
-    if (std::holds_alternative<count_call>(request.call)
-        || (rest.empty() && std::holds_alternative<status_call>(request.call))) {
-        const auto load = daemon.load.queues.find(queue->policy.queue);
-        done(queue_count{load == daemon.load.queues.end() ? 0 : load->second.pending});
-        return;
-    }
-    if (!isJobKey(rest)) {
-        done(call_malformed{"the path does not end with a job key of 16 hexadecimal digits"});
-        return;
-    }
-    const job_key key(rest);
-    if (std::holds_alternative<status_call>(request.call)) {
-        answerStatus(daemon, key, request.patience, countOpen(daemon, std::move(done)), now);
-    } else if (daemon.intake->storeLost) {
-        refuseWithoutStore(daemon, key, done);
-    } else if (const auto *submit = std::get_if<submit_call>(&request.call)) {
-        submitJob(daemon, request, *submit, *queue, key, std::move(done), now);
-    } else {
-        requestCancel(daemon.context, key, request.patience, countOpen(daemon, std::move(done)), now);
-    }
-}
-
 void drainCellDaemon(cell_daemon &daemon, const clock_reading &now)
 {
     if (daemon.draining) {
@@ -419,6 +259,7 @@
 void settleCellDaemon(cell_daemon &daemon, const clock_reading &now)
 {
     settleIntake(daemon.intake, now);
+    keepRelay(daemon, now);
     // Without the store no job can be taken in here; another daemon may reach it.
     daemon.ready = daemon.configuration && !daemon.draining && !daemon.intake->storeLost;
     if (daemon.leader) {
--- a/packages/process/cell_daemon.h
+++ b/packages/process/cell_daemon.h
@@ -2,9 +2,9 @@
 // leads when it is elected. Runs on the control thread.
 #pragma once
 
-#include "connection/caller_port.h"
 #include "process/cell_election.h"
 #include "process/job_intake.h"
+#include "process/job_relay.h"
 #include "process/status_desk.h"
 #include "term/cell_leader.h"
 
@@ -27,6 +27,7 @@
     std::shared_ptr<cell_leader> leader; ///< Null unless this daemon leads.
     std::shared_ptr<job_intake> intake;
     std::shared_ptr<status_desk> statuses;
+    std::shared_ptr<job_relay> relay;
     std::optional<daemon_id> leaderName; ///< Holder of the leader's key, if it is known.
     cell_load load;
     std::map<daemon_id, address> daemons;
@@ -44,12 +45,6 @@
 /// Starts all parts.
 std::unique_ptr<cell_daemon> startCellDaemon(cell_context &context);
 
-/// Takes a message of another daemon.
-void takeDaemonMessage(cell_daemon &daemon, const daemon_message &message, const clock_reading &now);
-
-/// Takes a request of a caller. `done` is called once, perhaps later.
-void takeCallerRequest(cell_daemon &daemon, caller_request request, caller_done done, const clock_reading &now);
-
 /// Begins to stop: hands over the term, then serves what callers still send until it is time to end.
 void drainCellDaemon(cell_daemon &daemon, const clock_reading &now);
 
--- /dev/null
+++ b/packages/process/cell_requests.cpp
@@ -0,0 +1,255 @@
+#include "process/cell_requests.h"
+
+#include "base/log.h"
+#include "connection/cell_codec.h"
+#include "process/job_queries.h"
+#include "term/advice_desk.h"
+
+namespace sesamespar {
+
+namespace {
+
+/// Retry-After before the first configuration has arrived.
+constexpr milliseconds startRetryAfter{1000};
+/// Retry-After while the store cannot be reached. Outages last 4 to 9 s and callers come again four times, so that
+/// with 1 s their tries are used up before it is back.
+constexpr milliseconds storeRetryAfter{2000};
+
+/// Part of the path after the queue's prefix.
+std::string restOf(const caller_request &request, const queue_declaration &queue)
+{
+    return request.path.substr(queue.pathPrefix.size());
+}
+
+/// Counts a request as open until it is answered.
+caller_done countOpen(cell_daemon &daemon, caller_done done)
+{
+    ++daemon.openRequests;
+    return [&daemon, done = std::move(done)](const caller_answer &answer) {
+        --daemon.openRequests;
+        done(answer);
+    };
+}
+
+void refuseWithoutStore(const cell_daemon &daemon, const job_key &key, const caller_done &done)
+{
+    addCount(*daemon.context.counters, cell_metrics::storeLostRefusals);
+    log_event("store_lost_refusal").with("job", key);
+    done(call_refused{"the store cannot be reached", storeRetryAfter});
+}
+
+void submitJob(cell_daemon &daemon,
+               const caller_request &request,
+               const submit_call &call,
+               const queue_declaration &queue,
+               const job_key &key,
+               caller_done done,
+               const clock_reading &now)
+{
+    if (!call.problem.empty()) {
+        addCount(*daemon.context.counters, cell_metrics::jobsMalformed);
+        log_event("job_malformed", log_level::Warning).with("job", key).with("problem", call.problem);
+        done(call_malformed{call.problem});
+        return;
+    }
+    const auto load = daemon.load.queues.find(queue.policy.queue);
+    if (load != daemon.load.queues.end() && load->second.refusing) {
+        log_event("job_refused")
+            .with("job", key)
+            .with("queue", queue.policy.queue)
+            .with("pending", load->second.pending)
+            .with("retry_after_ms", load->second.retryAfter.count());
+        addCount(*daemon.context.counters, cell_metrics::jobsRefused);
+        done(call_refused{"the queue is full", load->second.retryAfter});
+        return;
+    }
+    accepted_job job{key, call.job, queue.policy, now.utc};
+    if (!daemon.intake->storeLost) {
+        takeIn(*daemon.intake, std::move(job), request.patience, countOpen(daemon, std::move(done)), now);
+    } else if (canRelay(*daemon.relay, now)) {
+        relayJob(daemon.relay, job, request.patience, countOpen(daemon, std::move(done)), now);
+    } else {
+        refuseWithoutStore(daemon, key, done);
+    }
+}
+
+/// Answers with the state of a job: from memory if this daemon leads, else from the leader, else from the store.
+void answerStatus(
+    cell_daemon &daemon, const job_key &key, milliseconds patience, caller_done done, const clock_reading &now)
+{
+    if (daemon.leader) {
+        if (const auto phase = tellablePhase(*daemon.leader, key)) {
+            done(job_status{*phase});
+            return;
+        }
+    } else if (daemon.leaderName) {
+        const auto found = daemon.daemons.find(*daemon.leaderName);
+        if (found != daemon.daemons.end()) {
+            askStatus(daemon.statuses, found->second, key, patience, std::move(done), now);
+            return;
+        }
+    }
+    readStatus(daemon, key, patience, std::move(done), now);
+}
+
+/// Answers another daemon that asks the leader.
+void answerPeer(const cell_daemon &daemon, const status_question &asked)
+{
+    status_answer reply;
+    reply.correlation = asked.correlation;
+    if (daemon.leader) {
+        reply.phase = tellablePhase(*daemon.leader, asked.job);
+    }
+    daemon.context.sendToPeer(asked.answerTo, reply);
+}
+
+/// Tells whether this daemon can store jobs of another one.
+void answerProbe(const cell_daemon &daemon, const relay_probe &probe)
+{
+    daemon.context.sendToPeer(probe.answerTo, relay_offer{daemon.context.settings.peerAddress, daemon.ready});
+}
+
+/// Stores a job of another daemon.
+void takeRelayedJob(cell_daemon &daemon, const relayed_job &relayed, const clock_reading &now)
+{
+    const auto answer = [&daemon, to = relayed.answerTo, correlation = relayed.correlation](relay_result result) {
+        daemon.context.sendToPeer(to, relay_outcome{correlation, result});
+    };
+    auto job = decodeAcceptedJob(relayed.key, relayed.job);
+    if (!job || !daemon.ready) {
+        answer(relay_result::Refused);
+        return;
+    }
+    takeIn(*daemon.intake,
+           std::move(job.value()),
+           relayed.limit,
+           countOpen(daemon,
+                     [answer](const caller_answer &given) {
+                         if (std::holds_alternative<job_accepted>(given)) {
+                             answer(relay_result::Stored);
+                         } else if (std::holds_alternative<call_refused>(given)) {
+                             answer(relay_result::Refused);
+                         } else {
+                             answer(relay_result::Unknown);
+                         }
+                     }),
+           now);
+}
+
+void takeMessage(cell_daemon &daemon, const hand_question &asked, const clock_reading &)
+{
+    daemon.context.advice.ask(
+        asked.question,
+        asked.limit,
+        [&daemon, to = asked.answerTo, correlation = asked.correlation](result<advice_answer> answer) {
+            hand_answer reply;
+            reply.correlation = correlation;
+            if (answer) {
+                reply.answer = std::move(answer.value());
+            } else {
+                reply.problem = answer.error().message;
+            }
+            daemon.context.sendToPeer(to, reply);
+        });
+}
+
+void takeMessage(cell_daemon &daemon, const hand_answer &answer, const clock_reading &now)
+{
+    if (daemon.leader) {
+        const result<advice_answer> outcome = answer.problem.empty()
+            ? result<advice_answer>(answer.answer)
+            : result<advice_answer>(makeError(error_kind::Unknown, answer.problem));
+        takeHandAnswer(*daemon.leader, answer.correlation, outcome, now);
+    }
+}
+
+void takeMessage(cell_daemon &daemon, const status_question &asked, const clock_reading &)
+{
+    answerPeer(daemon, asked);
+}
+
+void takeMessage(cell_daemon &daemon, const status_answer &answer, const clock_reading &now)
+{
+    takeStatusAnswer(*daemon.statuses, answer, now);
+}
+
+void takeMessage(cell_daemon &daemon, const relay_probe &probe, const clock_reading &)
+{
+    answerProbe(daemon, probe);
+}
+
+void takeMessage(cell_daemon &daemon, const relay_offer &offer, const clock_reading &now)
+{
+    takeOffer(*daemon.relay, offer, now);
+}
+
+void takeMessage(cell_daemon &daemon, const relayed_job &job, const clock_reading &now)
+{
+    takeRelayedJob(daemon, job, now);
+}
+
+void takeMessage(cell_daemon &daemon, const relay_outcome &outcome, const clock_reading &now)
+{
+    takeOutcome(*daemon.relay, outcome, now);
+}
+
+} // namespace
+
+void takeDaemonMessage(cell_daemon &daemon, const daemon_message &message, const clock_reading &now)
+{
+    const auto take = [&daemon, &now](const auto &single) {
+        takeMessage(daemon, single, now);
+    };
+    std::visit(take, message);
+}
+
+void takeCallerRequest(cell_daemon &daemon, caller_request request, caller_done done, const clock_reading &now)
+{
+    if (!daemon.configuration) {
+        done(call_refused{"no configuration has been read yet", startRetryAfter});
+        return;
+    }
+    const queue_declaration *queue = findQueue(*daemon.configuration, request.host, request.path);
+    if (queue == nullptr) {
+        addCount(*daemon.context.counters, cell_metrics::noQueue);
+        log_event("no_such_queue")
+            .with("host", request.host)
+            .with("path", request.path)
+            .with("version", daemon.configuration->version);
+        done(no_such_queue{});
+        return;
+    }
+    const std::string rest = restOf(request, *queue);
+    if (std::holds_alternative<count_call>(request.call)
+        || (rest.empty() && std::holds_alternative<status_call>(request.call))) {
+        const auto load = daemon.load.queues.find(queue->policy.queue);
+        done(queue_count{load == daemon.load.queues.end() ? 0 : load->second.pending});
+        return;
+    }
+    if (!isJobKey(rest)) {
+        done(call_malformed{"the path does not end with a job key of 16 hexadecimal digits"});
+        return;
+    }
+    const job_key key(rest);
+    if (std::holds_alternative<status_call>(request.call)) {
+        answerStatus(daemon, key, request.patience, countOpen(daemon, std::move(done)), now);
+    } else if (const auto *submit = std::get_if<submit_call>(&request.call)) {
+        submitJob(daemon, request, *submit, *queue, key, std::move(done), now);
+    } else if (daemon.intake->storeLost) {
+        refuseWithoutStore(daemon, key, done);
+    } else {
+        requestCancel(daemon.context, key, request.patience, countOpen(daemon, std::move(done)), now);
+    }
+}
+
+void readStatus(
+    cell_daemon &daemon, const job_key &key, milliseconds patience, caller_done done, const clock_reading &now)
+{
+    if (daemon.intake->storeLost) {
+        refuseWithoutStore(daemon, key, done);
+    } else {
+        queryJob(daemon.context, key, patience, std::move(done), now);
+    }
+}
+
+} // namespace sesamespar
--- /dev/null
+++ b/packages/process/job_relay.cpp
@@ -0,0 +1,160 @@
+#include "process/job_relay.h"
+
+#include "base/log.h"
+#include "connection/cell_codec.h"
+
+#include <algorithm>
+
+namespace sesamespar {
+
+namespace {
+
+/// Period of the probes, and age up to which an offer is counted on: two probes may be lost.
+constexpr milliseconds probePeriod{250};
+constexpr milliseconds offerLife{700};
+/// Daemons asked in one probe.
+constexpr std::size_t probedAtOnce = 2;
+/// Time for the answer about a job: a transaction of the other daemon takes 4 ms, or 600 ms at most.
+constexpr milliseconds relayLimit{1000};
+constexpr milliseconds answerMargin{250};
+/// Retry-After of a job that the other daemon refused, as for jobs refused without the store.
+constexpr milliseconds refusedRetryAfter{2000};
+
+void finish(const job_relay &relay,
+            const relayed_open &job,
+            const caller_answer &answer,
+            const char *outcome,
+            std::string_view counter,
+            const clock_reading &now)
+{
+    log_event("job_submitted")
+        .with("job", job.key)
+        .with("outcome", outcome)
+        .with("relayed", true)
+        .with("took_ms", std::chrono::duration_cast<milliseconds>(now.uptime - job.arrivedAt).count());
+    addCount(*relay.context.counters, counter);
+    noteTime(*relay.context.counters, cell_metrics::requestTime, now.uptime - job.arrivedAt);
+    job.done(answer);
+}
+
+void expire(job_relay &relay, const clock_reading &now)
+{
+    for (auto next = relay.open.begin(); next != relay.open.end();) {
+        const auto entry = next++;
+        if (entry->second.dueAt > now.uptime) {
+            continue;
+        }
+        const relayed_open job = std::move(entry->second);
+        relay.open.erase(entry);
+        relay.helper.reset();
+        const outcome_unknown answer{"another daemon did not tell whether it stored the job"};
+        finish(relay, job, answer, "unknown", cell_metrics::jobsUnknown, now);
+    }
+}
+
+void scheduleExpiry(const std::shared_ptr<job_relay> &relay, const clock_reading &now)
+{
+    if (relay->open.empty() || relay->expiryTimer.is_linked()) {
+        return;
+    }
+    relay->expiryTimer.fire = [weak = std::weak_ptr(relay)](const clock_reading &when) {
+        if (const auto self = weak.lock()) {
+            expire(*self, when);
+            scheduleExpiry(self, when);
+        }
+    };
+    subscribe(relay->context.timers, relay->expiryTimer, now.monotonic + probePeriod);
+}
+
+} // namespace
+
+void probeHelpers(const std::shared_ptr<job_relay> &relay,
+                  const std::vector<address> &others,
+                  const clock_reading &now)
+{
+    if (others.empty() || relay->probeTimer.is_linked()) {
+        return;
+    }
+    // The timer only wakes the control thread, which probes again while the store is lost.
+    relay->probeTimer.fire = [](const clock_reading &) {
+    };
+    subscribe(relay->context.timers, relay->probeTimer, now.monotonic + probePeriod);
+    if (relay->helper && now.uptime - relay->offeredAt < offerLife) {
+        relay->context.sendToPeer(*relay->helper, relay_probe{relay->context.settings.peerAddress});
+        return;
+    }
+    for (std::size_t count = 0; count < std::min(probedAtOnce, others.size()); ++count) {
+        relay->lastProbed = (relay->lastProbed + 1) % others.size();
+        relay->context.sendToPeer(others[relay->lastProbed], relay_probe{relay->context.settings.peerAddress});
+    }
+}
+
+void takeOffer(job_relay &relay, const relay_offer &offer, const clock_reading &now)
+{
+    if (!offer.usable) {
+        if (relay.helper == offer.from) {
+            relay.helper.reset();
+        }
+        return;
+    }
+    if (relay.helper != offer.from) {
+        log_event("relay_found").with("through", offer.from);
+    }
+    relay.helper = offer.from;
+    relay.offeredAt = now.uptime;
+}
+
+bool canRelay(const job_relay &relay, const clock_reading &now)
+{
+    return relay.helper && now.uptime - relay.offeredAt < offerLife;
+}
+
+void relayJob(const std::shared_ptr<job_relay> &relay,
+              const accepted_job &job,
+              milliseconds patience,
+              caller_done done,
+              const clock_reading &now)
+{
+    const milliseconds limit = std::min(relayLimit, std::max(patience - answerMargin, milliseconds(1)));
+    const correlation_id correlation(++relay->lastCorrelation);
+    relay->open.emplace(correlation, relayed_open{job.key, std::move(done), now.uptime, now.uptime + limit});
+    addCount(*relay->context.counters, cell_metrics::jobsRelayed);
+    relay->context.sendToPeer(
+        *relay->helper,
+        relayed_job{correlation, relay->context.settings.peerAddress, limit, job.key, encodeAcceptedJob(job)});
+    scheduleExpiry(relay, now);
+}
+
+void takeOutcome(job_relay &relay, const relay_outcome &outcome, const clock_reading &now)
+{
+    const auto found = relay.open.find(outcome.correlation);
+    if (found == relay.open.end()) {
+        return;
+    }
+    const relayed_open job = std::move(found->second);
+    relay.open.erase(found);
+    switch (outcome.result) {
+    case relay_result::Stored:
+        finish(relay, job, job_accepted{}, "accepted", cell_metrics::jobsAccepted, now);
+        break;
+    case relay_result::Refused:
+        relay.helper.reset();
+        finish(relay,
+               job,
+               call_refused{"no daemon could store the job", refusedRetryAfter},
+               "refused",
+               cell_metrics::jobsRefused,
+               now);
+        break;
+    case relay_result::Unknown:
+        finish(relay,
+               job,
+               outcome_unknown{"another daemon could not tell whether it stored the job"},
+               "unknown",
+               cell_metrics::jobsUnknown,
+               now);
+        break;
+    }
+}
+
+} // namespace sesamespar
