--- a/packages/base/log_line.cpp
+++ b/packages/base/log_line.cpp
@@ -56,14 +56,16 @@
     return std::pair(std::move(key), takePlain(rest));
 }
 
-std::string_view trim(std::string_view text)
+/// Last word of what a collector has put before the line, without brackets and separators.
+std::string_view lastWord(std::string_view text)
 {
-    const std::size_t first = text.find_first_not_of(" \t[");
-    if (first == std::string_view::npos) {
+    const std::size_t last = text.find_last_not_of(" \t]:|");
+    if (last == std::string_view::npos) {
         return {};
     }
-    const std::size_t last = text.find_last_not_of(" \t]:|");
-    return text.substr(first, last - first + 1);
+    text = text.substr(0, last + 1);
+    const std::size_t space = text.find_last_of(" \t[");
+    return space == std::string_view::npos ? text : text.substr(space + 1);
 }
 
 /// Where the line's own fields begin: at its time, its level or its event.
@@ -84,7 +86,7 @@
     }
     const std::size_t begin = beginOf(text);
     log_line line;
-    line.source = trim(text.substr(0, begin));
+    line.source = lastWord(text.substr(0, begin));
     text.remove_prefix(begin);
     while (auto field = takeField(text)) {
         auto &[key, value] = *field;
--- a/packages/base/log_line.h
+++ b/packages/base/log_line.h
@@ -12,7 +12,7 @@
 
 /// One line.
 struct log_line {
-    std::string source; ///< Text before the line's own fields, such as a name that a collector puts there.
+    std::string source; ///< Last word before the line's own fields, such as a name that a collector puts there.
     std::int64_t timeMs = 0; ///< Wall-clock time in milliseconds since 1970; 0 if the line has none.
     std::string event;
     std::vector<std::pair<std::string, std::string>> fields; ///< All others in their order, unescaped.
--- a/packages/connection/cell_context.h
+++ b/packages/connection/cell_context.h
@@ -5,8 +5,8 @@
 #include "base/metrics.h"
 #include "connection/advice_port.h"
 #include "connection/cell_metrics.h"
-#include "connection/discovery_port.h"
 #include "connection/daemon_message.h"
+#include "connection/discovery_port.h"
 #include "connection/store_port.h"
 #include "connection/worker_port.h"
 
--- a/packages/connection/daemon_message.h
+++ b/packages/connection/daemon_message.h
@@ -1,5 +1,5 @@
-// Messages between the daemons of a cell: the leader has others ask the advisor on its behalf, the others ask the leader
-// for the states of jobs, and a daemon that has lost the store has another one store jobs.
+// Messages between the daemons of a cell: the leader has others ask the advisor on its behalf, the others ask the
+// leader for the states of jobs, and a daemon that has lost the store has another one store jobs.
 #pragma once
 
 #include "connection/advice_port.h"
--- a/packages/process/job_relay.cpp
+++ b/packages/process/job_relay.cpp
@@ -68,9 +68,7 @@
 
 } // namespace
 
-void probeHelpers(const std::shared_ptr<job_relay> &relay,
-                  const std::vector<address> &others,
-                  const clock_reading &now)
+void probeHelpers(const std::shared_ptr<job_relay> &relay, const std::vector<address> &others, const clock_reading &now)
 {
     if (others.empty() || relay->probeTimer.is_linked()) {
         return;
--- /dev/null
+++ b/packages/request/day_series.cpp
@@ -0,0 +1,123 @@
+#include "request/day_series.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+
+namespace sesamespar {
+
+namespace {
+
+constexpr std::int64_t second = 1000;
+/// Lines that are further apart do not belong to the same span: one of them has a damaged time, or is of another day.
+constexpr std::int64_t longestGapMs = 60000;
+
+constexpr std::array<std::string_view, 9> troubleEvents{"term_begun",
+                                                        "term_ended",
+                                                        "draining",
+                                                        "store_lost",
+                                                        "worker_lost",
+                                                        "worker_leases_lapsed",
+                                                        "worker_restarted",
+                                                        "worker_avoided",
+                                                        "worker_slow"};
+
+std::uint64_t numberOf(const log_line &line, std::string_view key)
+{
+    return std::strtoull(fieldOf(line, key).c_str(), nullptr, 10);
+}
+
+void takeUse(day_second &entry, const log_line &line)
+{
+    entry.waiting = numberOf(line, "pending");
+    entry.running = numberOf(line, "runs");
+    const auto capacity = static_cast<double>(numberOf(line, "millicores"));
+    entry.usedShare = capacity > 0 ? static_cast<double>(numberOf(line, "reserved_millicores")) / capacity : 0;
+}
+
+void takeLine(day_second &entry, const log_line &line, std::map<std::string, int> &troubles)
+{
+    const std::string outcome = fieldOf(line, "outcome");
+    if (line.event == "cell_use") {
+        takeUse(entry, line);
+    } else if (line.event == "store_lost_refusal" || line.event == "job_refused" || outcome == "refused") {
+        ++entry.refused;
+    } else if (line.event == "job_submitted" && outcome == "unknown") {
+        ++entry.unknown;
+    } else if (line.event == "job_final" && fieldOf(line, "state") == "completed") {
+        ++entry.completed;
+    } else if (std::find(troubleEvents.begin(), troubleEvents.end(), line.event) != troubleEvents.end()) {
+        ++troubles[line.event];
+    }
+}
+
+using line_list = std::vector<const log_line *>;
+
+/// The longest part of the lines, in order of time, without a gap.
+line_list longestSpan(const line_list &lines)
+{
+    std::size_t begin = 0;
+    std::size_t bestBegin = 0;
+    std::size_t bestLength = 0;
+    for (std::size_t index = 0; index < lines.size(); ++index) {
+        if (index > 0 && lines[index]->timeMs - lines[index - 1]->timeMs > longestGapMs) {
+            begin = index;
+        }
+        if (index + 1 - begin > bestLength) {
+            bestBegin = begin;
+            bestLength = index + 1 - begin;
+        }
+    }
+    const auto first = lines.begin() + static_cast<std::ptrdiff_t>(bestBegin);
+    return {first, first + static_cast<std::ptrdiff_t>(bestLength)};
+}
+
+/// The leader reports about once a second, so a second without a report is like the one before.
+void fillGaps(day_series &series, const std::vector<bool> &reported)
+{
+    for (std::size_t index = 1; index < series.seconds.size(); ++index) {
+        if (!reported[index]) {
+            series.seconds[index].waiting = series.seconds[index - 1].waiting;
+            series.seconds[index].running = series.seconds[index - 1].running;
+            series.seconds[index].usedShare = series.seconds[index - 1].usedShare;
+        }
+    }
+}
+
+} // namespace
+
+day_series summarizeDay(const std::vector<log_line> &lines)
+{
+    line_list timed;
+    for (const log_line &line : lines) {
+        if (line.timeMs > 0) {
+            timed.push_back(&line);
+        }
+    }
+    std::stable_sort(timed.begin(), timed.end(), [](const log_line *left, const log_line *right) {
+        return left->timeMs < right->timeMs;
+    });
+    timed = longestSpan(timed);
+    day_series series;
+    if (timed.empty()) {
+        return series;
+    }
+    series.startMs = timed.front()->timeMs;
+    series.seconds.resize(static_cast<std::size_t>((timed.back()->timeMs - series.startMs) / second + 1));
+    std::vector<bool> reported(series.seconds.size(), false);
+    std::vector<std::map<std::string, int>> troubles(series.seconds.size());
+    for (const log_line *line : timed) {
+        const auto index = static_cast<std::size_t>((line->timeMs - series.startMs) / second);
+        takeLine(series.seconds[index], *line, troubles[index]);
+        reported[index] = reported[index] || line->event == "cell_use";
+    }
+    for (std::size_t index = 0; index < troubles.size(); ++index) {
+        for (const auto &[event, count] : troubles[index]) {
+            series.seconds[index].troubles.push_back(count == 1 ? event : event + " x" + std::to_string(count));
+        }
+    }
+    fillGaps(series, reported);
+    return series;
+}
+
+} // namespace sesamespar
--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -392,7 +392,8 @@
         order.ticket = ticket->second.ticket;
     }
     if (!order.leaseUntil) {
-        // An earlier order without an answer may still be carried out, so only a stop or a lapsed lease settles the run.
+        // An earlier order without an answer may still be carried out, so only a stop or a lapsed lease settles the
+        // run.
         if (run.startUnknown) {
             requestStop(leader->state, run);
         } else {
--- /dev/null
+++ b/test/correctness/metric_names.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Fails if a metric of a cell is not described in docs/operators.md, so that an operator meets no unknown name.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+status=0
+while read -r name; do
+    family=${name%%\{*}
+    label=${name#"$family"}
+    if ! grep -qF "$family" docs/operators.md || ! grep -qF "${label//\\/}" docs/operators.md; then
+        echo "metric_names: ${name//\\/} is not in docs/operators.md"
+        status=1
+    fi
+done < <(sed -nE 's/^constexpr std::string_view [A-Za-z]+ = "(.*)";$/\1/p' packages/connection/cell_metrics.h)
+[ "$status" -eq 0 ] && echo "metric_names: every metric is described"
+exit "$status"
--- a/test/performance/measure_policies.cpp
+++ b/test/performance/measure_policies.cpp
@@ -1,6 +1,6 @@
 // Plays the loads of both sites through the placement of a cell, with its policy, with the simplest one, and with each
-// part of the policy replaced by the simplest choice. Usage: measure_policies [SEED [SEEDS]]. The figure is the share of
-// what the work is worth that was earned, as a mean over several seeds.
+// part of the policy replaced by the simplest choice. Usage: measure_policies [SEED [SEEDS]]. The figure is the share
+// of what the work is worth that was earned, as a mean over several seeds.
 #include "cell_replay.h"
 
 #include <algorithm>
