Name things by the field's terms: poll, proxy, dispatch, queries

Cause: the calls that renew leases were looks, the daemons that ask the advisor were hands, and two files were desks.

--- a/apps/daychart/main.cpp
+++ b/apps/daychart/main.cpp
@@ -15,7 +15,8 @@
 using namespace sesamespar;
 
 constexpr int exitUsage = 2;
-/// The picture's own units.
+/// The size of the picture on paper, in the proportions of its own units below.
+constexpr const char *pageSize = "a4,xsize=24cm,ysize=14cm";
 constexpr double width = 1200;
 constexpr double height = 700;
 constexpr double leftEdge = 70;
@@ -113,6 +114,7 @@
 void draw(const day_series &series)
 {
     plPlotterParams *parameters = pl_newplparams();
+    pl_setplparam(parameters, "PAGESIZE", const_cast<char *>(pageSize));
     plPlotter *plotter = pl_newpl_r("svg", nullptr, stdout, stderr, parameters);
     pl_openpl_r(plotter);
     pl_fspace_r(plotter, 0, 0, width, height);
--- a/packages/connection/daemon_message.cpp
+++ b/packages/connection/daemon_message.cpp
@@ -28,7 +28,7 @@
     writer.String(value);
 }
 
-void writeMessage(json_writer &writer, const hand_question &message)
+void writeMessage(json_writer &writer, const advice_request &message)
 {
     writeCorrelation(writer, message.correlation);
     writeText(writer, "answerTo", message.answerTo.value);
@@ -45,7 +45,7 @@
     writer.EndArray();
 }
 
-void writeMessage(json_writer &writer, const hand_answer &message)
+void writeMessage(json_writer &writer, const advice_response &message)
 {
     writeCorrelation(writer, message.correlation);
     writeText(writer, "problem", message.problem);
@@ -106,9 +106,9 @@
     return correlation_id(static_cast<std::uint64_t>(object.number("correlation", 0)));
 }
 
-daemon_message readHandQuestion(const json_object &object)
+daemon_message readAdviceRequest(const json_object &object)
 {
-    hand_question message;
+    advice_request message;
     message.correlation = correlationOf(object);
     message.answerTo.value = object.text("answerTo");
     message.limit = milliseconds(object.number("limit", 0));
@@ -122,9 +122,9 @@
     return message;
 }
 
-daemon_message readHandAnswer(const json_object &object)
+daemon_message readAdviceResponse(const json_object &object)
 {
-    hand_answer message;
+    advice_response message;
     message.correlation = correlationOf(object);
     message.problem = object.text("problem");
     const auto good = object.list("good");
@@ -182,8 +182,8 @@
 
 /// In the order of the variant.
 constexpr std::array<message_type, std::variant_size_v<daemon_message>> messageTypes{{
-    {"advice_question", readHandQuestion},
-    {"advice_answer", readHandAnswer},
+    {"advice_question", readAdviceRequest},
+    {"advice_answer", readAdviceResponse},
     {"status_question", readStatusQuestion},
     {"status_answer", readStatusAnswer},
     {"relay_probe", readProbe},
--- a/packages/connection/daemon_message.h
+++ b/packages/connection/daemon_message.h
@@ -13,7 +13,7 @@
 namespace sesamespar {
 
 /// Ask the advisor and send the answer back.
-struct hand_question {
+struct advice_request {
     correlation_id correlation;
     address answerTo;
     milliseconds limit{0}; ///< The leader waits no longer.
@@ -21,7 +21,7 @@
 };
 
 /// The answer, or why there is none.
-struct hand_answer {
+struct advice_response {
     correlation_id correlation;
     std::string problem; ///< Empty if answered.
     advice_answer answer;
@@ -74,8 +74,8 @@
 };
 
 /// Any of them.
-using daemon_message = std::variant<hand_question,
-                                    hand_answer,
+using daemon_message = std::variant<advice_request,
+                                    advice_response,
                                     status_question,
                                     status_answer,
                                     relay_probe,
--- a/packages/connection/worker_port.h
+++ b/packages/connection/worker_port.h
@@ -1,4 +1,4 @@
-// What the product needs of the workers of a cell: starts and stops of runs, and looks that renew what runs and
+// What the product needs of the workers of a cell: starts and stops of runs, and polls that renew what runs and
 // report it. An adapter fills in the functions; every callback runs once, on a traffic thread.
 #pragma once
 
@@ -65,8 +65,8 @@
     std::optional<milliseconds> workerClock; ///< The worker's clock at its answer.
 };
 
-/// Look at a worker. Ends up to `seenEnds` are forgotten by the worker.
-struct worker_look {
+/// Poll of a worker. Ends up to `seenEnds` are forgotten by the worker.
+struct worker_poll {
     fencing_token fence;
     end_number seenEnds;
     std::optional<milliseconds> leaseUntil;
@@ -121,8 +121,8 @@
         start;
     std::function<void(const worker_target &, const stop_order &, milliseconds limit, worker_callback<order_reply>)>
         stop;
-    std::function<void(const worker_target &, const worker_look &, milliseconds limit, worker_callback<worker_report>)>
-        look;
+    std::function<void(const worker_target &, const worker_poll &, milliseconds limit, worker_callback<worker_report>)>
+        poll;
 };
 
 } // namespace sesamespar
--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -87,10 +87,10 @@
     subscribe(daemon.context.timers, daemon.registrationTimer, now.monotonic + registrationPeriod);
 }
 
-void updateHands(cell_daemon &daemon)
+void updateAdviceProxies(cell_daemon &daemon)
 {
     if (daemon.leader) {
-        setHands(*daemon.leader, daemon.daemons);
+        setAdviceProxies(*daemon.leader, daemon.daemons);
     }
 }
 
@@ -109,7 +109,7 @@
         }
     } else if (item.key.starts_with(cell_keys::daemonPrefix)) {
         daemon.daemons[daemon_id(item.key.substr(cell_keys::daemonPrefix.size()))] = address(item.value);
-        updateHands(daemon);
+        updateAdviceProxies(daemon);
     }
 }
 
@@ -120,7 +120,7 @@
         noteLeaderKey(*daemon.election, {key, {}, store_revision(0)}, now);
     } else if (key.starts_with(cell_keys::daemonPrefix)) {
         daemon.daemons.erase(daemon_id(key.substr(cell_keys::daemonPrefix.size())));
-        updateHands(daemon);
+        updateAdviceProxies(daemon);
     }
 }
 
@@ -157,7 +157,7 @@
             concede(*daemon.election);
         },
         now);
-    updateHands(daemon);
+    updateAdviceProxies(daemon);
 }
 
 void follow(cell_daemon &daemon, const char *reason)
@@ -215,7 +215,7 @@
     cell_daemon *self = daemon.get();
     daemon->intake = std::make_shared<job_intake>(context);
     daemon->relay = std::make_shared<job_relay>(context);
-    daemon->statuses = std::make_shared<status_desk>(
+    daemon->statuses = std::make_shared<status_queries>(
         context, [self](const job_key &key, milliseconds patience, caller_done done, const clock_reading &now) {
             readStatus(*self, key, patience, std::move(done), now);
         });
--- a/packages/process/cell_daemon.h
+++ b/packages/process/cell_daemon.h
@@ -5,7 +5,7 @@
 #include "process/cell_election.h"
 #include "process/job_intake.h"
 #include "process/job_relay.h"
-#include "process/status_desk.h"
+#include "process/status_queries.h"
 #include "term/cell_leader.h"
 
 #include <atomic>
@@ -26,7 +26,7 @@
     std::shared_ptr<cell_election> election;
     std::shared_ptr<cell_leader> leader; ///< Null unless this daemon leads.
     std::shared_ptr<job_intake> intake;
-    std::shared_ptr<status_desk> statuses;
+    std::shared_ptr<status_queries> statuses;
     std::shared_ptr<job_relay> relay;
     std::optional<daemon_id> leaderName; ///< Holder of the leader's key, if it is known.
     cell_load load;
--- a/packages/process/cell_requests.cpp
+++ b/packages/process/cell_requests.cpp
@@ -3,7 +3,7 @@
 #include "base/log.h"
 #include "connection/cell_codec.h"
 #include "process/job_queries.h"
-#include "term/advice_desk.h"
+#include "term/advice_dispatch.h"
 
 namespace sesamespar {
 
@@ -78,7 +78,7 @@
     cell_daemon &daemon, const job_key &key, milliseconds patience, caller_done done, const clock_reading &now)
 {
     if (daemon.leader) {
-        if (const auto phase = tellablePhase(*daemon.leader, key)) {
+        if (const auto phase = visiblePhase(*daemon.leader, key)) {
             done(job_status{*phase});
             return;
         }
@@ -98,7 +98,7 @@
     status_answer reply;
     reply.correlation = asked.correlation;
     if (daemon.leader) {
-        reply.phase = tellablePhase(*daemon.leader, asked.job);
+        reply.phase = visiblePhase(*daemon.leader, asked.job);
     }
     daemon.context.sendToPeer(asked.answerTo, reply);
 }
@@ -136,13 +136,13 @@
            now);
 }
 
-void takeMessage(cell_daemon &daemon, const hand_question &asked, const clock_reading &)
+void takeMessage(cell_daemon &daemon, const advice_request &asked, const clock_reading &)
 {
     daemon.context.advice.ask(
         asked.question,
         asked.limit,
         [&daemon, to = asked.answerTo, correlation = asked.correlation](result<advice_answer> answer) {
-            hand_answer reply;
+            advice_response reply;
             reply.correlation = correlation;
             if (answer) {
                 reply.answer = std::move(answer.value());
@@ -153,13 +153,13 @@
         });
 }
 
-void takeMessage(cell_daemon &daemon, const hand_answer &answer, const clock_reading &now)
+void takeMessage(cell_daemon &daemon, const advice_response &answer, const clock_reading &now)
 {
     if (daemon.leader) {
         const result<advice_answer> outcome = answer.problem.empty()
             ? result<advice_answer>(answer.answer)
             : result<advice_answer>(makeError(error_kind::Unknown, answer.problem));
-        takeHandAnswer(*daemon.leader, answer.correlation, outcome, now);
+        takeAdviceResponse(*daemon.leader, answer.correlation, outcome, now);
     }
 }
 
--- a/packages/process/job_relay.cpp
+++ b/packages/process/job_relay.cpp
@@ -21,7 +21,7 @@
 constexpr milliseconds refusedRetryAfter{2000};
 
 void finish(const job_relay &relay,
-            const relayed_open &job,
+            const open_relay &job,
             const caller_answer &answer,
             const char *outcome,
             std::string_view counter,
@@ -44,7 +44,7 @@
         if (entry->second.dueAt > now.uptime) {
             continue;
         }
-        const relayed_open job = std::move(entry->second);
+        const open_relay job = std::move(entry->second);
         relay.open.erase(entry);
         relay.helper.reset();
         const outcome_unknown answer{"another daemon did not tell whether it stored the job"};
@@ -115,7 +115,7 @@
 {
     const milliseconds limit = std::min(relayLimit, std::max(patience - answerMargin, milliseconds(1)));
     const correlation_id correlation(++relay->lastCorrelation);
-    relay->open.emplace(correlation, relayed_open{job.key, std::move(done), now.uptime, now.uptime + limit});
+    relay->open.emplace(correlation, open_relay{job.key, std::move(done), now.uptime, now.uptime + limit});
     addCount(*relay->context.counters, cell_metrics::jobsRelayed);
     relay->context.sendToPeer(
         *relay->helper,
@@ -129,7 +129,7 @@
     if (found == relay.open.end()) {
         return;
     }
-    const relayed_open job = std::move(found->second);
+    const open_relay job = std::move(found->second);
     relay.open.erase(found);
     switch (outcome.result) {
     case relay_result::Stored:
--- a/packages/process/job_relay.h
+++ b/packages/process/job_relay.h
@@ -15,7 +15,7 @@
 namespace sesamespar {
 
 /// A job that another daemon was asked to store.
-struct relayed_open {
+struct open_relay {
     job_key key;
     caller_done done;
     time_point arrivedAt; ///< In uptime.
@@ -30,7 +30,7 @@
     }
 
     cell_context &context;
-    std::map<correlation_id, relayed_open> open;
+    std::map<correlation_id, open_relay> open;
     std::uint64_t lastCorrelation = 0;
     std::size_t lastProbed = 0; ///< Position among the other daemons.
     std::optional<address> helper; ///< Daemon that has offered its help.
--- a/packages/process/status_desk.h
+++ b/packages/process/status_queries.h
@@ -23,8 +23,8 @@
     std::function<void(const job_key &, milliseconds patience, caller_done done, const clock_reading &now)>;
 
 /// The open questions of a daemon.
-struct status_desk : std::enable_shared_from_this<status_desk> {
-    status_desk(cell_context &means, status_reader readStore)
+struct status_queries : std::enable_shared_from_this<status_queries> {
+    status_queries(cell_context &means, status_reader readStore)
         : context(means)
         , reader(std::move(readStore))
     {
@@ -39,7 +39,7 @@
 };
 
 /// Asks the leader at that address, or reads the store if the leader did not answer lately.
-void askStatus(const std::shared_ptr<status_desk> &desk,
+void askStatus(const std::shared_ptr<status_queries> &queries,
                const address &leader,
                const job_key &key,
                milliseconds patience,
@@ -47,6 +47,6 @@
                const clock_reading &now);
 
 /// Takes the leader's answer.
-void takeStatusAnswer(status_desk &desk, const status_answer &answer, const clock_reading &now);
+void takeStatusAnswer(status_queries &queries, const status_answer &answer, const clock_reading &now);
 
 } // namespace sesamespar
--- a/packages/term/advice_desk.cpp
+++ b/packages/term/advice_dispatch.cpp
@@ -1,4 +1,4 @@
-#include "term/advice_desk.h"
+#include "term/advice_dispatch.h"
 
 #include "base/log.h"
 #include "term/job_placement.h"
@@ -12,7 +12,7 @@
 /// Time beyond that of the advisor after which an answer is overdue: two hops between daemons and one to the advisor.
 constexpr milliseconds answerGrace{500};
 /// Time for which a daemon that did not answer gets no questions.
-constexpr milliseconds handPause{3000};
+constexpr milliseconds proxyPause{3000};
 constexpr milliseconds askAgainPause{100};
 /// A daemon whose questions need less than this gets the next one, so that the advisor need not wait for it.
 constexpr double shortBacklogMs = 15;
@@ -30,14 +30,14 @@
 }
 
 /// The usable daemon with the least backlog.
-std::map<daemon_id, advice_hand>::iterator chooseHand(cell_leader &leader, time_point uptime)
+std::map<daemon_id, advice_proxy>::iterator chooseProxy(cell_leader &leader, time_point uptime)
 {
-    auto best = leader.hands.end();
-    for (auto next = leader.hands.begin(); next != leader.hands.end(); ++next) {
+    auto best = leader.proxies.end();
+    for (auto next = leader.proxies.begin(); next != leader.proxies.end(); ++next) {
         if (uptime < next->second.avoidedUntil) {
             continue;
         }
-        if (best == leader.hands.end() || next->second.backlogMs < best->second.backlogMs) {
+        if (best == leader.proxies.end() || next->second.backlogMs < best->second.backlogMs) {
             best = next;
         }
     }
@@ -46,9 +46,9 @@
 
 void closeQuestion(cell_leader &leader, std::map<correlation_id, open_question>::iterator entry)
 {
-    const auto hand = leader.hands.find(entry->second.hand);
-    if (hand != leader.hands.end()) {
-        hand->second.backlogMs = std::max(0.0, hand->second.backlogMs - entry->second.costMs);
+    const auto proxy = leader.proxies.find(entry->second.proxy);
+    if (proxy != leader.proxies.end()) {
+        proxy->second.backlogMs = std::max(0.0, proxy->second.backlogMs - entry->second.costMs);
     }
     leader.questions.erase(entry);
 }
@@ -59,10 +59,10 @@
 {
     advice_capacity capacity;
     std::size_t usable = 0;
-    for (const auto &[name, hand] : leader.hands) {
-        if (now.uptime >= hand.avoidedUntil) {
+    for (const auto &[name, proxy] : leader.proxies) {
+        if (now.uptime >= proxy.avoidedUntil) {
             ++usable;
-            capacity.free += hand.backlogMs < shortBacklogMs ? 1 : 0;
+            capacity.free += proxy.backlogMs < shortBacklogMs ? 1 : 0;
         }
     }
     const auto longOpen =
@@ -76,22 +76,22 @@
 
 void askAdvice(const std::shared_ptr<cell_leader> &leader, advice_question question, const clock_reading &now)
 {
-    const auto hand = chooseHand(*leader, now.uptime);
-    if (hand == leader->hands.end()) {
+    const auto proxy = chooseProxy(*leader, now.uptime);
+    if (proxy == leader->proxies.end()) {
         adviceFailed(leader->state, question, now.uptime + askAgainPause);
         return;
     }
     const correlation_id correlation(++leader->lastQuestion);
-    open_question open{question, hand->first, costOf(*leader, question), now.uptime, {}};
-    hand->second.backlogMs += open.costMs;
-    const milliseconds limit = milliseconds(static_cast<std::int64_t>(hand->second.backlogMs)) + answerGrace;
+    open_question open{question, proxy->first, costOf(*leader, question), now.uptime, {}};
+    proxy->second.backlogMs += open.costMs;
+    const milliseconds limit = milliseconds(static_cast<std::int64_t>(proxy->second.backlogMs)) + answerGrace;
     open.dueAt = now.uptime + limit;
     leader->questions.emplace(correlation, std::move(open));
     addCount(*leader->context.counters, cell_metrics::adviceQuestions);
-    if (!hand->second.at.value.empty()) {
+    if (!proxy->second.at.value.empty()) {
         leader->context.sendToPeer(
-            hand->second.at,
-            hand_question{correlation, leader->context.settings.peerAddress, limit, std::move(question)});
+            proxy->second.at,
+            advice_request{correlation, leader->context.settings.peerAddress, limit, std::move(question)});
         return;
     }
     leader->context.advice.ask(
@@ -99,14 +99,14 @@
         limit,
         onControlThread(leader->context.box,
                         [leader, correlation](const result<advice_answer> &answer, const clock_reading &when) {
-                            takeHandAnswer(*leader, correlation, answer, when);
+                            takeAdviceResponse(*leader, correlation, answer, when);
                         }));
 }
 
-void takeHandAnswer(cell_leader &leader,
-                    correlation_id correlation,
-                    const result<advice_answer> &answer,
-                    const clock_reading &now)
+void takeAdviceResponse(cell_leader &leader,
+                        correlation_id correlation,
+                        const result<advice_answer> &answer,
+                        const clock_reading &now)
 {
     const auto entry = leader.questions.find(correlation);
     if (leader.ended || entry == leader.questions.end()) {
@@ -121,7 +121,7 @@
         log_event("advice_failed", log_level::Warning)
             .with("job", open.question.step.job)
             .with("step", open.question.step.step)
-            .with("hand", open.hand)
+            .with("proxy", open.proxy)
             .with("problem", answer.error().message);
         adviceFailed(leader.state, open.question, now.uptime + askAgainPause);
         return;
@@ -133,7 +133,7 @@
     log_event("advice")
         .with("job", open.question.step.job)
         .with("step", open.question.step.step)
-        .with("hand", open.hand)
+        .with("proxy", open.proxy)
         .with("asked", open.question.workers.size())
         .with("good", answer.value().good.size())
         .with("took_ms", std::chrono::duration_cast<milliseconds>(now.uptime - open.sentAt).count());
@@ -147,15 +147,15 @@
             continue;
         }
         const open_question open = entry->second;
-        const auto hand = leader.hands.find(open.hand);
-        if (hand != leader.hands.end() && !hand->second.at.value.empty()) {
-            hand->second.avoidedUntil = now.uptime + handPause;
+        const auto proxy = leader.proxies.find(open.proxy);
+        if (proxy != leader.proxies.end() && !proxy->second.at.value.empty()) {
+            proxy->second.avoidedUntil = now.uptime + proxyPause;
         }
         addCount(*leader.context.counters, cell_metrics::adviceOverdue);
         log_event("advice_overdue", log_level::Warning)
             .with("job", open.question.step.job)
             .with("step", open.question.step.step)
-            .with("hand", open.hand);
+            .with("proxy", open.proxy);
         closeQuestion(leader, entry);
         adviceFailed(leader.state, open.question, now.uptime);
         leader.placementDue = true;
--- a/packages/term/advice_desk.h
+++ b/packages/term/advice_dispatch.h
@@ -14,10 +14,10 @@
 void askAdvice(const std::shared_ptr<cell_leader> &leader, advice_question question, const clock_reading &now);
 
 /// Takes the answer that another daemon, or the advisor itself, has sent.
-void takeHandAnswer(cell_leader &leader,
-                    correlation_id correlation,
-                    const result<advice_answer> &answer,
-                    const clock_reading &now);
+void takeAdviceResponse(cell_leader &leader,
+                        correlation_id correlation,
+                        const result<advice_answer> &answer,
+                        const clock_reading &now);
 
 /// Gives up questions whose answer is overdue.
 void expireQuestions(cell_leader &leader, const clock_reading &now);
--- a/packages/term/cell_leader.cpp
+++ b/packages/term/cell_leader.cpp
@@ -1,7 +1,7 @@
 #include "term/cell_leader.h"
 
 #include "base/log.h"
-#include "term/advice_desk.h"
+#include "term/advice_dispatch.h"
 #include "term/cell_recovery.h"
 #include "term/job_placement.h"
 #include "term/load_report.h"
@@ -102,7 +102,7 @@
     writeChanges(leader, now);
 }
 
-std::optional<job_phase> tellablePhase(const cell_leader &leader, const job_key &key)
+std::optional<job_phase> visiblePhase(const cell_leader &leader, const job_key &key)
 {
     if (leader.ended || !leader.recovered) {
         return std::nullopt;
@@ -119,15 +119,15 @@
     return isFinal(job.progress.phase) && !stored ? job_phase::Running : job.progress.phase;
 }
 
-void setHands(cell_leader &leader, const std::map<daemon_id, address> &daemons)
+void setAdviceProxies(cell_leader &leader, const std::map<daemon_id, address> &daemons)
 {
-    std::erase_if(leader.hands, [&](const auto &hand) {
-        return hand.first != leader.context.settings.name && !daemons.contains(hand.first);
+    std::erase_if(leader.proxies, [&](const auto &proxy) {
+        return proxy.first != leader.context.settings.name && !daemons.contains(proxy.first);
     });
-    leader.hands.try_emplace(leader.context.settings.name);
+    leader.proxies.try_emplace(leader.context.settings.name);
     for (const auto &[name, at] : daemons) {
         if (name != leader.context.settings.name) {
-            leader.hands[name].at = at;
+            leader.proxies[name].at = at;
         }
     }
 }
--- a/packages/term/cell_leader.h
+++ b/packages/term/cell_leader.h
@@ -17,13 +17,13 @@
 
 /// Calls to one worker.
 struct worker_session {
-    timer nextLook;
-    bool looking = false;
-    bool noWait = true; ///< The next look is answered at once.
+    timer nextPoll;
+    bool polling = false;
+    bool noWait = true; ///< The next poll is answered at once.
 };
 
 /// Daemon that asks the advisor on behalf of the leader.
-struct advice_hand {
+struct advice_proxy {
     address at; ///< Empty for the leader itself.
     double backlogMs = 0; ///< Time that the advisor needs for what was handed over and is not answered.
     time_point avoidedUntil; ///< In uptime.
@@ -32,7 +32,7 @@
 /// A question handed over.
 struct open_question {
     advice_question question;
-    daemon_id hand;
+    daemon_id proxy;
     double costMs = 0;
     time_point sentAt; ///< In uptime.
     time_point dueAt; ///< In uptime.
@@ -73,7 +73,7 @@
     time_point commitAfter; ///< In uptime; no transaction before, after a fault.
 
     std::map<worker_id, worker_session> sessions;
-    std::map<daemon_id, advice_hand> hands;
+    std::map<daemon_id, advice_proxy> proxies;
     std::map<correlation_id, open_question> questions;
     std::uint64_t lastQuestion = 0;
 
@@ -98,9 +98,9 @@
 
 /// State of a job as callers may be told it: a final state only once the store holds it. Nothing if this term does not
 /// know the job.
-std::optional<job_phase> tellablePhase(const cell_leader &leader, const job_key &key);
+std::optional<job_phase> visiblePhase(const cell_leader &leader, const job_key &key);
 
 /// Sets the daemons that ask the advisor on behalf of the leader, besides itself.
-void setHands(cell_leader &leader, const std::map<daemon_id, address> &daemons);
+void setAdviceProxies(cell_leader &leader, const std::map<daemon_id, address> &daemons);
 
 } // namespace sesamespar
--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -72,8 +72,8 @@
     worker_birth birth;
     bool listed = false; ///< The platform lists it.
     bool draining = false;
-    bool seen = false; ///< It has answered a look of this term in its present life.
-    unsigned missedLooks = 0; ///< In a row.
+    bool seen = false; ///< It has answered a poll of this term in its present life.
+    unsigned missedPolls = 0; ///< In a row.
 
     resources reserved; ///< By all runs in `runs`.
     run_list runs;
--- a/packages/term/load_report.cpp
+++ b/packages/term/load_report.cpp
@@ -34,7 +34,7 @@
     resources reserved;
     std::size_t runs = 0;
     for (const auto &[id, worker] : leader.state.workers) {
-        if (worker->listed && worker->missedLooks == 0) {
+        if (worker->listed && worker->missedPolls == 0) {
             capacity = capacity + worker->capacity;
             reserved = reserved + worker->reserved;
             runs += worker->runs.size();
--- a/packages/term/worker_reports.h
+++ b/packages/term/worker_reports.h
@@ -11,7 +11,7 @@
     run_number run;
 };
 
-/// Takes a report. `sentAt` is when the look was sent, in uptime: a run that is missing is over only if the last
+/// Takes a report. `sentAt` is when the poll was sent, in uptime: a run that is missing is over only if the last
 /// order about it was answered before. Returns the runs that must be stopped.
 std::vector<foreign_run> takeReport(
     cell_state &state, cell_worker &worker, const worker_report &report, time_point sentAt, const clock_reading &now);
--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -7,17 +7,17 @@
 
 namespace {
 
-/// A look waits this long for an end. Short enough for three tries within the longest lease of 6 s.
-constexpr milliseconds lookWait{1000};
-/// Time beyond its wait after which a look counts as lost.
-constexpr milliseconds lookGrace{600};
-/// Pause after a look that brought ends, so that those which follow come together.
-constexpr milliseconds lookPause{60};
-/// Pause after a look without an answer.
-constexpr milliseconds missedLookPause{200};
-/// A worker that has missed this many looks in a row is looked at without extending its leases. Each extension that
+/// A poll waits this long for an end. Short enough for three tries within the longest lease of 6 s.
+constexpr milliseconds pollWait{1000};
+/// Time beyond its wait after which a poll counts as lost.
+constexpr milliseconds pollGrace{600};
+/// Pause after a poll that brought ends, so that those which follow come together.
+constexpr milliseconds pollPause{60};
+/// Pause after a poll without an answer.
+constexpr milliseconds missedPollPause{200};
+/// A worker that has missed this many polls in a row is polled without extending its leases. Each extension that
 /// gets no answer may have been taken, so that otherwise its tasks could never be placed elsewhere.
-constexpr unsigned missedLooksBeforeLapse = 1;
+constexpr unsigned missedPollsBeforeLapse = 1;
 /// Time after which an order counts as lost. Workers answer within a few milliseconds.
 constexpr milliseconds orderLimit{400};
 /// A leader that has not proved its term for this long no longer extends what runs, since the next leader waits that
@@ -40,7 +40,7 @@
 /// End of a lease on the worker's clock, or nothing if its clock is not known or this leader may not extend.
 std::optional<milliseconds> grantLease(cell_leader &leader, cell_worker &worker, const clock_reading &now)
 {
-    const bool silent = worker.missedLooks >= missedLooksBeforeLapse;
+    const bool silent = worker.missedPolls >= missedPollsBeforeLapse;
     if (!worker.clock || silent || now.uptime > leader.provedAt + extensionAuthority) {
         return std::nullopt;
     }
@@ -77,46 +77,46 @@
     return run != nullptr && run->run == name.run ? run : nullptr;
 }
 
-void scheduleLook(const std::shared_ptr<cell_leader> &leader,
+void schedulePoll(const std::shared_ptr<cell_leader> &leader,
                   const worker_id &id,
                   milliseconds pause,
                   const clock_reading &now);
 
-void takeLook(const std::shared_ptr<cell_leader> &leader,
+void takePoll(const std::shared_ptr<cell_leader> &leader,
               const worker_id &id,
               time_point sentAt,
               const result<worker_report> &report,
               const clock_reading &now);
 
-void sendLook(const std::shared_ptr<cell_leader> &leader, const worker_id &id, const clock_reading &now)
+void sendPoll(const std::shared_ptr<cell_leader> &leader, const worker_id &id, const clock_reading &now)
 {
     cell_worker *worker = findWorker(*leader, id);
     const auto session = leader->sessions.find(id);
-    if (worker == nullptr || session == leader->sessions.end() || session->second.looking || leader->ended) {
+    if (worker == nullptr || session == leader->sessions.end() || session->second.polling || leader->ended) {
         return;
     }
-    worker_look look;
-    look.fence = leader->fence;
+    worker_poll poll;
+    poll.fence = leader->fence;
     // A worker that did not answer may have restarted. Its new life counts ends anew, and would forget ends that this
     // leader has not seen if it were told the number of the life before.
-    look.seenEnds = worker->seen && worker->missedLooks == 0 ? worker->seenEnds : end_number(0);
-    look.leaseUntil = grantLease(*leader, *worker, now);
-    look.wait = session->second.noWait || !worker->clock ? milliseconds(0) : lookWait;
-    session->second.looking = true;
+    poll.seenEnds = worker->seen && worker->missedPolls == 0 ? worker->seenEnds : end_number(0);
+    poll.leaseUntil = grantLease(*leader, *worker, now);
+    poll.wait = session->second.noWait || !worker->clock ? milliseconds(0) : pollWait;
+    session->second.polling = true;
     session->second.noWait = false;
-    leader->context.workers.look(
+    leader->context.workers.poll(
         {worker->id, worker->at},
-        look,
-        look.wait + lookGrace,
+        poll,
+        poll.wait + pollGrace,
         timedOnControlThread(
             leader->context,
-            cell_metrics::lookTime,
+            cell_metrics::pollTime,
             [leader, id, sentAt = now.uptime](const result<worker_report> &report, const clock_reading &when) {
-                takeLook(leader, id, sentAt, report, when);
+                takePoll(leader, id, sentAt, report, when);
             }));
 }
 
-void scheduleLook(const std::shared_ptr<cell_leader> &leader,
+void schedulePoll(const std::shared_ptr<cell_leader> &leader,
                   const worker_id &id,
                   milliseconds pause,
                   const clock_reading &now)
@@ -126,15 +126,15 @@
         return;
     }
     if (pause.count() == 0) {
-        sendLook(leader, id, now);
+        sendPoll(leader, id, now);
         return;
     }
-    session->second.nextLook.fire = [weak = std::weak_ptr(leader), id](const clock_reading &when) {
+    session->second.nextPoll.fire = [weak = std::weak_ptr(leader), id](const clock_reading &when) {
         if (const auto self = weak.lock()) {
-            sendLook(self, id, when);
+            sendPoll(self, id, when);
         }
     };
-    subscribe(leader->context.timers, session->second.nextLook, now.monotonic + pause);
+    subscribe(leader->context.timers, session->second.nextPoll, now.monotonic + pause);
 }
 
 void takeStop(const std::shared_ptr<cell_leader> &leader,
@@ -181,7 +181,7 @@
                              }));
 }
 
-void takeLook(const std::shared_ptr<cell_leader> &leader,
+void takePoll(const std::shared_ptr<cell_leader> &leader,
               const worker_id &id,
               time_point sentAt,
               const result<worker_report> &report,
@@ -192,28 +192,28 @@
     if (leader->ended || session == leader->sessions.end() || worker == nullptr) {
         return;
     }
-    session->second.looking = false;
+    session->second.polling = false;
     if (!report || report.value().refusal != order_refusal::None) {
         if (report && report.value().refusal == order_refusal::Fenced) {
             leader->stepDown("a worker has seen a higher fencing token");
             return;
         }
-        addCount(*leader->context.counters, cell_metrics::looksMissed);
-        if (++worker->missedLooks == 1) {
+        addCount(*leader->context.counters, cell_metrics::pollsMissed);
+        if (++worker->missedPolls == 1) {
             log_event("worker_lost", log_level::Warning)
                 .with("worker", id)
                 .with("runs", worker->runs.size())
                 .with("problem", report ? "refused" : report.error().message);
         }
         session->second.noWait = true;
-        scheduleLook(leader, id, missedLookPause, now);
+        schedulePoll(leader, id, missedPollPause, now);
         return;
     }
-    if (worker->missedLooks > 0) {
-        log_event("worker_regained").with("worker", id).with("missed_looks", worker->missedLooks);
-        worker->missedLooks = 0;
+    if (worker->missedPolls > 0) {
+        log_event("worker_regained").with("worker", id).with("missed_polls", worker->missedPolls);
+        worker->missedPolls = 0;
     }
-    addCount(*leader->context.counters, cell_metrics::looks);
+    addCount(*leader->context.counters, cell_metrics::polls);
     if (!worker->seen) {
         // From now on the worker refuses earlier leaders, so what they have extended lasts no longer than one lease.
         worker->heldUntil = now.uptime + longestHold(*leader);
@@ -229,7 +229,7 @@
     }
     leader->placementDue = true;
     const bool quiet = report.value().ended.empty() && worker->foreignRuns == 0 && worker->clock;
-    scheduleLook(leader, id, quiet ? milliseconds(1) : lookPause, now);
+    schedulePoll(leader, id, quiet ? milliseconds(1) : pollPause, now);
 }
 
 void takeRefusedStart(const std::shared_ptr<cell_leader> &leader,
@@ -339,7 +339,7 @@
     worker.listed = true;
     leader->placementDue = true;
     if (leader->sessions.try_emplace(listing.id).second) {
-        sendLook(leader, listing.id, now);
+        sendPoll(leader, listing.id, now);
     }
 }
 
@@ -457,7 +457,7 @@
                 .with("runs", worker.runs.size());
             endAllRuns(leader.state, worker, now);
         }
-        if (!worker.listed && worker.runs.empty() && leader.workersListed && worker.missedLooks > 0) {
+        if (!worker.listed && worker.runs.empty() && leader.workersListed && worker.missedPolls > 0) {
             leader.state.ends.erase(worker.id);
             leader.sessions.erase(worker.id);
             leader.state.workers.erase(entry);
--- a/packages/term/worker_sessions.h
+++ b/packages/term/worker_sessions.h
@@ -1,4 +1,4 @@
-// Calls to the workers: looks that renew the leases of what runs and bring its ends, starts and stops. An order
+// Calls to the workers: polls that renew the leases of what runs and bring its ends, starts and stops. An order
 // without an answer may be carried out later, so it is repeated or undone until the worker has answered.
 #pragma once
 
@@ -6,7 +6,7 @@
 
 namespace sesamespar {
 
-/// Begins to follow the list of workers and to look at them.
+/// Begins to follow the list of workers and to poll them.
 void followWorkers(const std::shared_ptr<cell_leader> &leader);
 
 /// Sends the start of a run that is noted in the store.
--- a/test/error/cell_failures.cpp
+++ b/test/error/cell_failures.cpp
@@ -271,7 +271,7 @@
 
 TEST_CASE("workers whose answers are lost run nothing twice")
 {
-    // What the leader sends still arrives there: each look renews the leases although no answer comes back.
+    // What the leader sends still arrives there: each poll renews the leases although no answer comes back.
     const auto cell = makeBusyWorld("20000");
     for (const auto &worker : cell->workers) {
         worker->answers = worker->running.empty();
--- a/test/performance/policy_gains.cpp
+++ b/test/performance/policy_gains.cpp
@@ -17,7 +17,7 @@
 
 earned_worth play(const replay_load &load, const cell_policy &policy)
 {
-    constexpr std::uint64_t seeds = 1; // Each takes two seconds of processor time a load.
+    constexpr std::uint64_t seeds = 2;
     earned_worth earned;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         const std::vector<replay_figures> figures = playLoad(load, policy, seed);
