Satisfy the linter in the new tests

Three findings: two vectors that are filled in a loop without a reserve, and a narrowing conversion in the replay of loads.

--- a/test/correctness/day_series.cpp
+++ b/test/correctness/day_series.cpp
@@ -11,6 +11,7 @@
 std::vector<log_line> parseAll(const std::vector<std::string> &texts)
 {
     std::vector<log_line> lines;
+    lines.reserve(texts.size());
     for (const std::string &text : texts) {
         lines.push_back(parseLogLine(text).value());
     }
--- a/test/correctness/request_timeline.cpp
+++ b/test/correctness/request_timeline.cpp
@@ -45,6 +45,7 @@
 std::vector<std::string> eventsOf(const std::vector<log_line> &lines)
 {
     std::vector<std::string> events;
+    events.reserve(lines.size());
     for (const log_line &line : lines) {
         events.push_back(line.event);
     }
--- a/test/performance/cell_replay.cpp
+++ b/test/performance/cell_replay.cpp
@@ -180,7 +180,7 @@
 {
     std::mt19937 random(static_cast<std::uint32_t>(std::hash<std::string>()(text)));
     constexpr double range = 4294967296.0;
-    return random() / range;
+    return static_cast<double>(random()) / range;
 }
 
 const replay_fault *faultOf(const replay &world, const cell_worker &worker)
