Let an action drop the last reference to its timer queue

The fault is in the test's stand-in and as old as it. Change: the thread shares the queue's state and is detached where it drops the queue itself.

--- a/test/correctness/standin_worker_host.cpp
+++ b/test/correctness/standin_worker_host.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <condition_variable>
+#include <future>
 #include <mutex>
 #include <optional>
 
@@ -163,3 +164,16 @@
     restartHostedWorker(*host, 0);
     CHECK_FALSE(std::get<control_reply>(await(*waiting).value()).granted);
 }
+
+TEST_CASE("an action may drop the last reference to its timer queue")
+{
+    // The queue's thread once joined itself: a host that was dropped while its timer fired ended the process.
+    const auto kept = std::make_shared<std::shared_ptr<timer_queue>>(startTimerQueue());
+    std::promise<void> ended;
+    runAt(**kept, std::chrono::steady_clock::now(), [kept, &ended] {
+        kept->reset();
+        ended.set_value();
+    });
+    CHECK(ended.get_future().wait_for(std::chrono::seconds(10)) == std::future_status::ready);
+    CHECK(*kept == nullptr);
+}
--- a/test/standins/timer_queue.cpp
+++ b/test/standins/timer_queue.cpp
@@ -7,41 +7,31 @@
 
 namespace sesamespar::standins {
 
-struct timer_queue {
+namespace {
+
+/// What the thread works on. The thread shares it, since an action may drop the last reference to the queue.
+struct timer_state {
     std::mutex mutex;
     std::condition_variable changed;
     std::multimap<time_point, std::function<void()>> actions;
     bool stopping = false;
-    std::thread thread;
-
-    ~timer_queue()
-    {
-        {
-            const std::lock_guard lock(mutex);
-            stopping = true;
-        }
-        changed.notify_all();
-        thread.join();
-    }
 };
 
-namespace {
-
-void runTimers(timer_queue &queue)
+void runTimers(const std::shared_ptr<timer_state> &state)
 {
-    std::unique_lock lock(queue.mutex);
-    while (!queue.stopping) {
-        if (queue.actions.empty()) {
-            queue.changed.wait(lock);
+    std::unique_lock lock(state->mutex);
+    while (!state->stopping) {
+        if (state->actions.empty()) {
+            state->changed.wait(lock);
             continue;
         }
-        const auto first = queue.actions.begin();
+        const auto first = state->actions.begin();
         if (first->first > std::chrono::steady_clock::now()) {
-            queue.changed.wait_until(lock, time_point(first->first));
+            state->changed.wait_until(lock, time_point(first->first));
             continue;
         }
         const std::function<void()> action = std::move(first->second);
-        queue.actions.erase(first);
+        state->actions.erase(first);
         lock.unlock();
         action();
         lock.lock();
@@ -50,20 +40,43 @@
 
 } // namespace
 
+struct timer_queue {
+    std::shared_ptr<timer_state> state = std::make_shared<timer_state>();
+    std::thread thread{[shared = state] {
+        runTimers(shared);
+    }};
+
+    timer_queue() = default;
+    timer_queue(const timer_queue &) = delete;
+    timer_queue &operator=(const timer_queue &) = delete;
+    ~timer_queue()
+    {
+        {
+            const std::lock_guard lock(state->mutex);
+            state->stopping = true;
+        }
+        state->changed.notify_all();
+        // A thread cannot join itself; it ends after the action that has dropped the queue.
+        if (thread.get_id() == std::this_thread::get_id()) {
+            thread.detach();
+        } else {
+            thread.join();
+        }
+    }
+};
+
 std::shared_ptr<timer_queue> startTimerQueue()
 {
-    auto queue = std::make_shared<timer_queue>();
-    queue->thread = std::thread([plain = queue.get()] { runTimers(*plain); });
-    return queue;
+    return std::make_shared<timer_queue>();
 }
 
 void runAt(timer_queue &queue, time_point due, std::function<void()> action)
 {
     {
-        const std::lock_guard lock(queue.mutex);
-        queue.actions.emplace(due, std::move(action));
+        const std::lock_guard lock(queue.state->mutex);
+        queue.state->actions.emplace(due, std::move(action));
     }
-    queue.changed.notify_one();
+    queue.state->changed.notify_one();
 }
 
 } // namespace sesamespar::standins
