Tell the questions of two terms, and of two processes, apart

Cause ( of fuzz/cell_model, an accepted job never over): each term numbered its questions to the advisor from 1, so that a late answer to a question of an earlier term was taken for one of the new term; the job was told that no worker may run it. States of jobs and relayed jobs had the same fault between two processes at one address. Ruled out: the advisor's fake, whose answers do not depend on the term.

--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -21,6 +21,10 @@
 constexpr milliseconds cellWatchPause{60};
 /// Period in which a draining daemon looks whether its time is over and no request is open.
 constexpr milliseconds drainCheckPeriod{300};
+/// The upper part of a correlation is drawn from the incarnation, the lower one counts. Both fit into 63 bits, since
+/// messages carry signed numbers.
+constexpr unsigned incarnationShift = 33;
+constexpr unsigned correlationBits = 32;
 
 void keepRegistered(cell_daemon &daemon, const clock_reading &now);
 
@@ -219,6 +223,10 @@
         context, [self](const job_key &key, milliseconds patience, caller_done done, const clock_reading &now) {
             readStatus(*self, key, patience, std::move(done), now);
         });
+    // Answers to an earlier process at this address must not be taken for answers to this one.
+    const std::uint64_t firstCorrelation = (context.incarnation.value >> incarnationShift) << correlationBits;
+    daemon->relay->lastCorrelation = firstCorrelation;
+    daemon->statuses->lastQuestion = firstCorrelation;
     election_sink sink;
     sink.won = [self](fencing_token fence, const clock_reading &now) {
         lead(*self, fence, now);
--- a/test/error/cell_failures.cpp
+++ b/test/error/cell_failures.cpp
@@ -545,3 +545,16 @@
     CHECK(cell.jobs[keyNumber(2)].refusedOnly);
     CHECK(cell.broken.empty());
 }
+
+TEST_CASE("questions of two terms have different correlations")
+{
+    // A late answer to a question of an earlier term was once taken for one of the new term: a job was told that no
+    // worker may run it, and waited for ever (seed 402009 of cell_model).
+    const auto cell = makeBusyWorld("9000");
+    const std::size_t first = *leaderOf(*cell);
+    const std::uint64_t before = cell->daemons[first]->daemon->leader->lastQuestion;
+    killDaemon(*cell, first);
+    REQUIRE(runUntil(*cell, 4000, [&] { return leaderOf(*cell).has_value(); }));
+    constexpr std::uint64_t mostQuestionsOfTerm = 1000000;
+    CHECK(cell->daemons[*leaderOf(*cell)]->daemon->leader->lastQuestion > before + mostQuestionsOfTerm);
+}
