Read the change again: one piece for what stood in several places

Cause: a reading of the whole change found the same thing written more than once, and one fix at the wrong depth. Ruled out as the same logic: the readers of a step in cell_codec and caller_front (names and defaults differ), the loads of the two sites in cell_replay (data), the pending questions of status_queries, job_relay and advice_dispatch (each ends in another way).

Change, behaviour as before: - Numbers of questions between daemons were kept apart by two mechanisms, for terms and for processes, over three counters. newCorrelation of cell_context serves all: no two terms or parts of a process share a number, and two processes differ by their incarnation. Orders that were answered and workers that know a later leader are handled in one function each. A daemon without the store lists the others when it probes, not after each batch of events.

--- a/apps/daychart/main.cpp
+++ b/apps/daychart/main.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <fstream>
 #include <iostream>
 #include <string>
 
@@ -138,16 +137,10 @@
 {
     std::vector<log_line> lines;
     for (int index = 1; index < argc; ++index) {
-        std::ifstream stream(argv[index]);
-        if (!stream) {
+        if (!readLogFile(argv[index], [&lines](log_line line) { lines.push_back(std::move(line)); })) {
             std::cerr << "daychart: cannot read \"" << argv[index] << "\"\n";
             return exitUsage;
         }
-        for (std::string text; std::getline(stream, text);) {
-            if (auto line = parseLogLine(text)) {
-                lines.push_back(std::move(*line));
-            }
-        }
     }
     const day_series series = summarizeDay(lines);
     if (series.seconds.empty()) {
--- a/apps/sesamespar/explain_command.cpp
+++ b/apps/sesamespar/explain_command.cpp
@@ -4,8 +4,6 @@
 #include "request/request_timeline.h"
 #include "version/yaml_reader.h"
 
-#include <filesystem>
-#include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
@@ -17,27 +15,6 @@
 constexpr int timeWidth = 9;
 constexpr int eventWidth = 22;
 
-/// Reads the lines of a file that may belong to the request; false if the file cannot be read.
-bool readFile(const std::string &path, std::string_view request, std::vector<log_line> &lines)
-{
-    std::ifstream stream(path);
-    if (!stream) {
-        return false;
-    }
-    std::string text;
-    while (std::getline(stream, text)) {
-        std::optional<log_line> line = parseLogLine(text);
-        if (!line || !concernsRequest(*line, request)) {
-            continue;
-        }
-        if (line->source.empty()) {
-            line->source = std::filesystem::path(path).stem().string();
-        }
-        lines.push_back(std::move(*line));
-    }
-    return true;
-}
-
 std::string fieldsAsText(const log_line &line)
 {
     std::string text;
@@ -116,8 +93,14 @@
 {
     const std::string &request = options.arguments.front();
     std::vector<log_line> lines;
+    // Only what may belong to the request is kept, since the logs of a day may be large.
+    const auto keep = [&](log_line line) {
+        if (concernsRequest(line, request)) {
+            lines.push_back(std::move(line));
+        }
+    };
     for (std::size_t index = 1; index < options.arguments.size(); ++index) {
-        if (!readFile(options.arguments[index], request, lines)) {
+        if (!readLogFile(options.arguments[index], keep)) {
             printError("cannot read " + quoteForMessage(options.arguments[index]));
             return exit_status::Invalid;
         }
--- a/packages/base/log_line.cpp
+++ b/packages/base/log_line.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <filesystem>
+#include <fstream>
 
 namespace sesamespar {
 
@@ -104,6 +106,25 @@
     return line;
 }
 
+bool readLogFile(const std::string &path, const std::function<void(log_line)> &take)
+{
+    std::ifstream stream(path);
+    if (!stream) {
+        return false;
+    }
+    for (std::string text; std::getline(stream, text);) {
+        std::optional<log_line> line = parseLogLine(text);
+        if (!line) {
+            continue;
+        }
+        if (line->source.empty()) {
+            line->source = std::filesystem::path(path).stem().string();
+        }
+        take(std::move(*line));
+    }
+    return true;
+}
+
 std::string fieldOf(const log_line &line, std::string_view key)
 {
     const auto found =
--- a/packages/base/log_line.h
+++ b/packages/base/log_line.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,6 +22,10 @@
 /// Reads a line; nothing if it names no event.
 std::optional<log_line> parseLogLine(std::string_view text);
 
+/// Passes on each line of a file that names an event. A line without a source gets the file's name, without folder and
+/// extension, as its source. False if the file cannot be read.
+bool readLogFile(const std::string &path, const std::function<void(log_line)> &take);
+
 /// Value of a field, or an empty text.
 std::string fieldOf(const log_line &line, std::string_view key);
 
--- a/packages/connection/caller_port.h
+++ b/packages/connection/caller_port.h
@@ -6,12 +6,22 @@
 #include "request/job_progress.h"
 #include "request/stepped_job.h"
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <variant>
 
 namespace sesamespar {
 
+/// Time kept back of a caller's patience for the way of the answer.
+constexpr milliseconds answerMargin{250};
+
+/// Time within which an answer still reaches a caller who waits that long.
+constexpr milliseconds timeToAnswer(milliseconds patience)
+{
+    return std::max(patience - answerMargin, milliseconds(1));
+}
+
 /// Hands in a job.
 struct submit_call {
     stepped_job job;
--- a/packages/connection/cell_codec.cpp
+++ b/packages/connection/cell_codec.cpp
@@ -1,36 +1,17 @@
 #include "connection/cell_codec.h"
 
 #include "connection/json_reader.h"
-
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
+#include "connection/json_writer.h"
 
 namespace sesamespar {
 
 namespace {
 
-using json_writer = rapidjson::Writer<rapidjson::StringBuffer>;
-
-constexpr job_phase phases[] = {
-    job_phase::Queued, job_phase::Running, job_phase::Completed, job_phase::Failed, job_phase::Cancelled};
-
-void writeText(json_writer &writer, const char *key, const std::string &value)
-{
-    writer.Key(key);
-    writer.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
-}
-
-void writeNumber(json_writer &writer, const char *key, std::int64_t value)
-{
-    writer.Key(key);
-    writer.Int64(value);
-}
-
-void writeFlag(json_writer &writer, const char *key, bool value)
+/// Writes a flag that is set; an absent one reads as not set.
+void writeIfSet(json_writer &writer, const char *key, bool value)
 {
     if (value) {
-        writer.Key(key);
-        writer.Bool(true);
+        writeFlag(writer, key, true);
     }
 }
 
@@ -50,10 +31,10 @@
         }
         writer.EndArray();
     }
-    writeFlag(writer, "checkpointing", step.checkpointing);
-    writeFlag(writer, "gang", step.gang);
-    writeFlag(writer, "sameRack", step.sameRack);
-    writeFlag(writer, "speculative", step.speculative);
+    writeIfSet(writer, "checkpointing", step.checkpointing);
+    writeIfSet(writer, "gang", step.gang);
+    writeIfSet(writer, "sameRack", step.sameRack);
+    writeIfSet(writer, "speculative", step.speculative);
     if (!step.requiredLabel.empty()) {
         writeText(writer, "requiredLabel", step.requiredLabel);
     }
@@ -85,11 +66,6 @@
     }
 }
 
-std::string textOf(const rapidjson::StringBuffer &buffer)
-{
-    return {buffer.GetString(), buffer.GetSize()};
-}
-
 job_step readStep(const json_object &object)
 {
     job_step step;
@@ -197,7 +173,7 @@
     }
     writer.EndArray();
     writer.EndObject();
-    return textOf(buffer);
+    return writtenText(buffer);
 }
 
 result<accepted_job> decodeAcceptedJob(const job_key &key, std::string_view text)
@@ -244,7 +220,7 @@
         writer.EndArray();
     }
     writer.EndObject();
-    return textOf(buffer);
+    return writtenText(buffer);
 }
 
 result<job_progress> decodeProgress(std::string_view text)
@@ -293,7 +269,7 @@
         writer.EndArray();
     }
     writer.EndObject();
-    return textOf(buffer);
+    return writtenText(buffer);
 }
 
 result<cell_load> decodeLoad(std::string_view text)
--- a/packages/connection/daemon_message.cpp
+++ b/packages/connection/daemon_message.cpp
@@ -1,9 +1,7 @@
 #include "connection/daemon_message.h"
 
 #include "connection/json_reader.h"
-
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
+#include "connection/json_writer.h"
 
 #include <algorithm>
 #include <array>
@@ -12,31 +10,20 @@
 
 namespace {
 
-using json_writer = rapidjson::Writer<rapidjson::StringBuffer>;
-
 constexpr std::array<const char *, 3> relayResults{"stored", "refused", "unknown"};
 
 void writeCorrelation(json_writer &writer, correlation_id correlation)
 {
-    writer.Key("correlation");
-    writer.Uint64(correlation.value);
-}
-
-void writeText(json_writer &writer, const char *key, const std::string &value)
-{
-    writer.Key(key);
-    writer.String(value);
+    writeNumber(writer, "correlation", correlation.value);
 }
 
 void writeMessage(json_writer &writer, const advice_request &message)
 {
     writeCorrelation(writer, message.correlation);
     writeText(writer, "answerTo", message.answerTo.value);
-    writer.Key("limit");
-    writer.Int64(message.limit.count());
+    writeNumber(writer, "limit", message.limit.count());
     writeText(writer, "job", message.question.step.job.value);
-    writer.Key("step");
-    writer.Uint(message.question.step.step);
+    writeNumber(writer, "step", message.question.step.step);
     writer.Key("workers");
     writer.StartArray();
     for (const worker_id &worker : message.question.workers) {
@@ -81,16 +68,14 @@
 void writeMessage(json_writer &writer, const relay_offer &message)
 {
     writeText(writer, "from", message.from.value);
-    writer.Key("usable");
-    writer.Bool(message.usable);
+    writeFlag(writer, "usable", message.usable);
 }
 
 void writeMessage(json_writer &writer, const relayed_job &message)
 {
     writeCorrelation(writer, message.correlation);
     writeText(writer, "answerTo", message.answerTo.value);
-    writer.Key("limit");
-    writer.Int64(message.limit.count());
+    writeNumber(writer, "limit", message.limit.count());
     writeText(writer, "key", message.key.value);
     writeText(writer, "job", message.job);
 }
@@ -202,7 +187,7 @@
     writeText(writer, "type", messageTypes.at(message.index()).name);
     std::visit([&writer](const auto &single) { writeMessage(writer, single); }, message);
     writer.EndObject();
-    return {buffer.GetString(), buffer.GetSize()};
+    return writtenText(buffer);
 }
 
 result<daemon_message> decodeDaemonMessage(std::string_view bytes)
--- a/packages/connection/outgoing_calls.cpp
+++ b/packages/connection/outgoing_calls.cpp
@@ -1,6 +1,7 @@
 #include "connection/outgoing_calls.h"
 
 #include "connection/codec.h"
+#include "connection/http_status.h"
 
 #include <variant>
 
@@ -11,8 +12,6 @@
 /// Calls under way to one address. The leader has at most one of each of the four types to a worker.
 constexpr std::size_t callsPerAddress = 16;
 
-constexpr int statusOk = 200;
-constexpr int statusTooManyRequests = 429;
 constexpr int firstServerFault = 500;
 
 /// Callback with the body of the answer.
@@ -30,7 +29,7 @@
 error statusFault(const address &from, int status)
 {
     const std::string message = from.value + " answered with status " + std::to_string(status);
-    if (status == statusTooManyRequests) {
+    if (status == http_status::tooManyRequests) {
         return makeError(error_kind::Overloaded, message);
     }
     return makeError(status >= firstServerFault ? error_kind::Unknown : error_kind::InvalidInput, message);
@@ -46,7 +45,7 @@
              [to, done = std::move(done)](result<http_reply> reply) {
                  if (!reply) {
                      done(reply.error());
-                 } else if (reply.value().status != statusOk) {
+                 } else if (reply.value().status != http_status::ok) {
                      done(statusFault(to, reply.value().status));
                  } else {
                      done(std::move(reply.value().body));
--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -21,10 +21,6 @@
 constexpr milliseconds cellWatchPause{60};
 /// Period in which a draining daemon looks whether its time is over and no request is open.
 constexpr milliseconds drainCheckPeriod{300};
-/// The upper part of a correlation is drawn from the incarnation, the lower one counts. Both fit into 63 bits, since
-/// messages carry signed numbers.
-constexpr unsigned incarnationShift = 33;
-constexpr unsigned correlationBits = 32;
 
 void keepRegistered(cell_daemon &daemon, const clock_reading &now);
 
@@ -186,21 +182,6 @@
     daemon.configuration = configuration;
 }
 
-/// While the store is lost, looks for a daemon that reaches it.
-void keepRelay(cell_daemon &daemon, const clock_reading &now)
-{
-    if (!daemon.intake->storeLost || daemon.draining) {
-        return;
-    }
-    std::vector<address> others;
-    for (const auto &[name, at] : daemon.daemons) {
-        if (name != daemon.context.settings.name) {
-            others.push_back(at);
-        }
-    }
-    probeHelpers(daemon.relay, others, now);
-}
-
 void endIfQuiet(cell_daemon &daemon, const clock_reading &now)
 {
     const bool served = now.uptime >= daemon.drainSince + daemon.context.settings.limits.drainTime;
@@ -223,10 +204,6 @@
         context, [self](const job_key &key, milliseconds patience, caller_done done, const clock_reading &now) {
             readStatus(*self, key, patience, std::move(done), now);
         });
-    // Answers to an earlier process at this address must not be taken for answers to this one.
-    const std::uint64_t firstCorrelation = (context.incarnation.value >> incarnationShift) << correlationBits;
-    daemon->relay->lastCorrelation = firstCorrelation;
-    daemon->statuses->lastQuestion = firstCorrelation;
     election_sink sink;
     sink.won = [self](fencing_token fence, const clock_reading &now) {
         lead(*self, fence, now);
@@ -267,7 +244,9 @@
 void settleCellDaemon(cell_daemon &daemon, const clock_reading &now)
 {
     settleIntake(daemon.intake, now);
-    keepRelay(daemon, now);
+    if (daemon.intake->storeLost && !daemon.draining) {
+        probeHelpers(daemon.relay, daemon.daemons, now);
+    }
     // Without the store no job can be taken in here; another daemon may reach it.
     daemon.ready = daemon.configuration && !daemon.draining && !daemon.intake->storeLost;
     if (daemon.leader) {
--- a/packages/process/cell_requests.cpp
+++ b/packages/process/cell_requests.cpp
@@ -11,9 +11,6 @@
 
 /// Retry-After before the first configuration has arrived.
 constexpr milliseconds startRetryAfter{1000};
-/// Retry-After while the store cannot be reached. Outages last 4 to 9 s and callers come again four times, so that
-/// with 1 s their tries are used up before it is back.
-constexpr milliseconds storeRetryAfter{2000};
 
 /// Part of the path after the queue's prefix.
 std::string restOf(const caller_request &request, const queue_declaration &queue)
@@ -92,8 +89,8 @@
     readStatus(daemon, key, patience, std::move(done), now);
 }
 
-/// Answers another daemon that asks the leader.
-void answerPeer(const cell_daemon &daemon, const status_question &asked)
+/// Another daemon asks the leader.
+void takeMessage(cell_daemon &daemon, const status_question &asked, const clock_reading &)
 {
     status_answer reply;
     reply.correlation = asked.correlation;
@@ -103,14 +100,14 @@
     daemon.context.sendToPeer(asked.answerTo, reply);
 }
 
-/// Tells whether this daemon can store jobs of another one.
-void answerProbe(const cell_daemon &daemon, const relay_probe &probe)
+/// Another daemon asks whether this one can store its jobs.
+void takeMessage(cell_daemon &daemon, const relay_probe &probe, const clock_reading &)
 {
     daemon.context.sendToPeer(probe.answerTo, relay_offer{daemon.context.settings.peerAddress, daemon.ready});
 }
 
 /// Stores a job of another daemon.
-void takeRelayedJob(cell_daemon &daemon, const relayed_job &relayed, const clock_reading &now)
+void takeMessage(cell_daemon &daemon, const relayed_job &relayed, const clock_reading &now)
 {
     const auto answer = [&daemon, to = relayed.answerTo, correlation = relayed.correlation](relay_result result) {
         daemon.context.sendToPeer(to, relay_outcome{correlation, result});
@@ -163,31 +160,16 @@
     }
 }
 
-void takeMessage(cell_daemon &daemon, const status_question &asked, const clock_reading &)
-{
-    answerPeer(daemon, asked);
-}
-
 void takeMessage(cell_daemon &daemon, const status_answer &answer, const clock_reading &now)
 {
     takeStatusAnswer(*daemon.statuses, answer, now);
 }
 
-void takeMessage(cell_daemon &daemon, const relay_probe &probe, const clock_reading &)
-{
-    answerProbe(daemon, probe);
-}
-
 void takeMessage(cell_daemon &daemon, const relay_offer &offer, const clock_reading &now)
 {
     takeOffer(*daemon.relay, offer, now);
 }
 
-void takeMessage(cell_daemon &daemon, const relayed_job &job, const clock_reading &now)
-{
-    takeRelayedJob(daemon, job, now);
-}
-
 void takeMessage(cell_daemon &daemon, const relay_outcome &outcome, const clock_reading &now)
 {
     takeOutcome(*daemon.relay, outcome, now);
--- a/packages/process/job_intake.cpp
+++ b/packages/process/job_intake.cpp
@@ -16,15 +16,11 @@
 /// The store takes 4 ms for a call, or 60 times as long while it is slow.
 constexpr milliseconds commitLimit{600};
 constexpr milliseconds retryPause{80};
-/// Time kept back of a caller's patience for the way of the answer.
-constexpr milliseconds answerMargin{250};
 /// A job that could not be stored for this long is given up, so that the caller may try another daemon.
 constexpr milliseconds storePatience{1200};
 /// Limit of the probe that tells a lost answer from a lost store, and the pause between two of them.
 constexpr milliseconds probeLimit{500};
 constexpr milliseconds probePause{200};
-/// Retry-After of jobs refused because the store does not answer, as for those refused at the door.
-constexpr milliseconds storeRetryAfter{2000};
 
 using job_batch = std::list<incoming_job>;
 
@@ -201,11 +197,7 @@
 
 void takeIn(job_intake &intake, accepted_job job, milliseconds patience, caller_done done, const clock_reading &now)
 {
-    intake.waiting.push_back({std::move(job),
-                              std::move(done),
-                              now.uptime,
-                              now.uptime + std::max(patience - answerMargin, milliseconds(1)),
-                              false});
+    intake.waiting.push_back({std::move(job), std::move(done), now.uptime, now.uptime + timeToAnswer(patience), false});
 }
 
 void suspectStore(const std::shared_ptr<job_intake> &intake)
--- a/packages/process/job_intake.h
+++ b/packages/process/job_intake.h
@@ -11,6 +11,10 @@
 
 namespace sesamespar {
 
+/// Retry-After of requests that are refused because the store cannot be reached. Outages last 4 to 9 s and callers come
+/// again four times, so that with 1 s their tries are used up before it is back.
+constexpr milliseconds storeRetryAfter{2000};
+
 /// A job on its way into the store.
 struct incoming_job {
     accepted_job job;
--- a/packages/process/job_queries.cpp
+++ b/packages/process/job_queries.cpp
@@ -13,7 +13,6 @@
 
 /// Limit of one call to the store; a lost call is repeated within the caller's patience.
 constexpr milliseconds callLimit{600};
-constexpr milliseconds answerMargin{250};
 constexpr milliseconds retryAfter{500};
 
 /// A caller's question under way.
@@ -31,7 +30,7 @@
     time_point answerBy; ///< In uptime.
     bool cancelling = false;
     bool mayBeDone = false; ///< A write got no answer.
-    bool jobMissing = false; ///< The accepted job was not there at the last look.
+    bool jobMissing = false; ///< The accepted job was not there at the last read.
 };
 
 using query_ptr = std::shared_ptr<job_query>;
@@ -40,7 +39,7 @@
 makeQuery(cell_context &context, const job_key &key, milliseconds patience, caller_done done, const clock_reading &now)
 {
     auto query = std::make_shared<job_query>(context, key, std::move(done));
-    query->answerBy = now.uptime + std::max(patience - answerMargin, milliseconds(1));
+    query->answerBy = now.uptime + timeToAnswer(patience);
     return query;
 }
 
--- a/packages/process/job_relay.cpp
+++ b/packages/process/job_relay.cpp
@@ -2,8 +2,10 @@
 
 #include "base/log.h"
 #include "connection/cell_codec.h"
+#include "process/job_intake.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace sesamespar {
 
@@ -16,9 +18,6 @@
 constexpr std::size_t probedAtOnce = 2;
 /// Time for the answer about a job: a transaction of the other daemon takes 4 ms, or 600 ms at most.
 constexpr milliseconds relayLimit{1000};
-constexpr milliseconds answerMargin{250};
-/// Retry-After of a job that the other daemon refused, as for jobs refused without the store.
-constexpr milliseconds refusedRetryAfter{2000};
 
 void finish(const job_relay &relay,
             const open_relay &job,
@@ -37,6 +36,17 @@
     job.done(answer);
 }
 
+std::vector<address> otherDaemons(const job_relay &relay, const std::map<daemon_id, address> &daemons)
+{
+    std::vector<address> others;
+    for (const auto &[name, at] : daemons) {
+        if (name != relay.context.settings.name) {
+            others.push_back(at);
+        }
+    }
+    return others;
+}
+
 void expire(job_relay &relay, const clock_reading &now)
 {
     for (auto next = relay.open.begin(); next != relay.open.end();) {
@@ -68,9 +78,11 @@
 
 } // namespace
 
-void probeHelpers(const std::shared_ptr<job_relay> &relay, const std::vector<address> &others, const clock_reading &now)
+void probeHelpers(const std::shared_ptr<job_relay> &relay,
+                  const std::map<daemon_id, address> &daemons,
+                  const clock_reading &now)
 {
-    if (others.empty() || relay->probeTimer.is_linked()) {
+    if (relay->probeTimer.is_linked()) {
         return;
     }
     // The timer only wakes the control thread, which probes again while the store is lost.
@@ -81,6 +93,7 @@
         relay->context.sendToPeer(*relay->helper, relay_probe{relay->context.settings.peerAddress});
         return;
     }
+    const std::vector<address> others = otherDaemons(*relay, daemons);
     for (std::size_t count = 0; count < std::min(probedAtOnce, others.size()); ++count) {
         relay->lastProbed = (relay->lastProbed + 1) % others.size();
         relay->context.sendToPeer(others[relay->lastProbed], relay_probe{relay->context.settings.peerAddress});
@@ -113,8 +126,8 @@
               caller_done done,
               const clock_reading &now)
 {
-    const milliseconds limit = std::min(relayLimit, std::max(patience - answerMargin, milliseconds(1)));
-    const correlation_id correlation(++relay->lastCorrelation);
+    const milliseconds limit = std::min(relayLimit, timeToAnswer(patience));
+    const correlation_id correlation = newCorrelation(relay->context);
     relay->open.emplace(correlation, open_relay{job.key, std::move(done), now.uptime, now.uptime + limit});
     addCount(*relay->context.counters, cell_metrics::jobsRelayed);
     relay->context.sendToPeer(
@@ -139,7 +152,7 @@
         relay.helper.reset();
         finish(relay,
                job,
-               call_refused{"no daemon could store the job", refusedRetryAfter},
+               call_refused{"no daemon could store the job", storeRetryAfter},
                "refused",
                cell_metrics::jobsRefused,
                now);
--- a/packages/process/job_relay.h
+++ b/packages/process/job_relay.h
@@ -10,7 +10,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <vector>
 
 namespace sesamespar {
 
@@ -31,7 +30,6 @@
 
     cell_context &context;
     std::map<correlation_id, open_relay> open;
-    std::uint64_t lastCorrelation = 0;
     std::size_t lastProbed = 0; ///< Position among the other daemons.
     std::optional<address> helper; ///< Daemon that has offered its help.
     time_point offeredAt; ///< In uptime.
@@ -39,9 +37,10 @@
     timer expiryTimer;
 };
 
-/// Looks for a daemon that can store jobs, if it is time for it. Called again and again while the store is lost.
+/// Looks for a daemon that can store jobs, if it is time for it. `daemons` are all of the cell. Called again and again
+/// while the store is lost.
 void probeHelpers(const std::shared_ptr<job_relay> &relay,
-                  const std::vector<address> &others,
+                  const std::map<daemon_id, address> &daemons,
                   const clock_reading &now);
 
 /// Takes the answer of a daemon that was probed.
--- a/packages/process/status_queries.cpp
+++ b/packages/process/status_queries.cpp
@@ -58,7 +58,7 @@
         readInstead(*queries, question, now);
         return;
     }
-    const correlation_id correlation(++queries->lastQuestion);
+    const correlation_id correlation = newCorrelation(queries->context);
     queries->open.emplace(correlation, std::move(question));
     addCount(*queries->context.counters, cell_metrics::statusQuestions);
     queries->context.sendToPeer(leader, status_question{correlation, queries->context.settings.peerAddress, key});
--- a/packages/process/status_queries.h
+++ b/packages/process/status_queries.h
@@ -33,7 +33,6 @@
     cell_context &context;
     status_reader reader;
     std::map<correlation_id, open_status> open; ///< In the order in which they were asked.
-    std::uint64_t lastQuestion = 0;
     time_point avoidLeaderUntil; ///< In uptime; it has left a question unanswered.
     timer expiry;
 };
--- a/packages/term/advice_dispatch.cpp
+++ b/packages/term/advice_dispatch.cpp
@@ -81,7 +81,7 @@
         adviceFailed(leader->state, question, now.uptime + askAgainPause);
         return;
     }
-    const correlation_id correlation(++leader->lastQuestion);
+    const correlation_id correlation = newCorrelation(leader->context);
     open_question open{question, proxy->first, costOf(*leader, question), now.uptime, {}};
     proxy->second.backlogMs += open.costMs;
     const milliseconds limit = milliseconds(static_cast<std::int64_t>(proxy->second.backlogMs)) + answerGrace;
--- a/packages/term/cell_admission.h
+++ b/packages/term/cell_admission.h
@@ -1,5 +1,4 @@
-// Decides which queues turn new jobs away, because what they have accepted already uses up the room until the new
-// jobs could no longer be served in time.
+// What the leader tells the other daemons about the queues: how much waits. No queue turns jobs away by it at present.
 #pragma once
 
 #include "request/cell_load.h"
@@ -7,7 +6,7 @@
 
 namespace sesamespar {
 
-/// Counts what waits and judges each queue.
-cell_load judgeLoad(const cell_state &state, const clock_reading &now);
+/// Counts what waits in each queue.
+cell_load judgeLoad(const cell_state &state);
 
 } // namespace sesamespar
--- a/packages/term/cell_leader.cpp
+++ b/packages/term/cell_leader.cpp
@@ -14,8 +14,6 @@
 
 /// Period of what a term looks after without an event: lapsed leases, unanswered questions, the load.
 constexpr milliseconds upkeepPeriod{100};
-/// Bits for the questions of one term; a term of an hour puts fewer than a million.
-constexpr unsigned questionBits = 24;
 
 /// Hands the waits that have ended since the last time to the measurements.
 void noteWaits(cell_leader &leader)
@@ -51,8 +49,6 @@
     leader->beganAt = now.uptime;
     leader->provedAt = now.uptime;
     leader->stepDown = std::move(stepDown);
-    // An answer to a question of an earlier term must not be taken for one of this term.
-    leader->lastQuestion = fence.value << questionBits;
     log_event("term_begun").with("daemon", context.settings.name).with("fence", fence);
     addCount(*context.counters, cell_metrics::termsBegun);
     leader->upkeepTimer.fire = [weak = std::weak_ptr(leader)](const clock_reading &when) {
--- a/packages/term/cell_leader.h
+++ b/packages/term/cell_leader.h
@@ -75,7 +75,6 @@
     std::map<worker_id, worker_session> sessions;
     std::map<daemon_id, advice_proxy> proxies;
     std::map<correlation_id, open_question> questions;
-    std::uint64_t lastQuestion = 0;
 
     cell_load load;
     bool loadWriting = false;
--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "connection/advice_port.h"
+#include "connection/discovery_port.h"
 #include "connection/worker_port.h"
 #include "request/accepted_job.h"
 #include "request/job_progress.h"
@@ -61,17 +62,10 @@
     time_point avoidedUntil; ///< In uptime; no new runs before, but for one at a time.
 };
 
-/// One worker. `birth` tells its lives under the same id apart.
-struct cell_worker {
-    worker_id id;
-    address at;
-    service_id service;
-    std::string rack;
-    std::set<std::string> labels;
-    resources capacity;
-    worker_birth birth;
+/// One worker, as it was last listed and as the leader knows it. `birth` tells its lives under the same id apart; a
+/// report may bring a later one than the listing.
+struct cell_worker : worker_listing {
     bool listed = false; ///< The platform lists it.
-    bool draining = false;
     bool seen = false; ///< It has answered a poll of this term in its present life.
     unsigned missedPolls = 0; ///< In a row.
 
--- a/packages/term/load_report.cpp
+++ b/packages/term/load_report.cpp
@@ -62,7 +62,7 @@
     }
     leader->nextLoadAt = now.uptime + loadPeriod;
     leader->loadWriting = true;
-    const cell_load load = judgeLoad(leader->state, now);
+    const cell_load load = judgeLoad(leader->state);
     for (const auto &[queue, entry] : load.queues) {
         const auto before = leader->load.queues.find(queue);
         if (entry.refusing && (before == leader->load.queues.end() || !before->second.refusing)) {
--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -77,6 +77,26 @@
     return run != nullptr && run->run == name.run ? run : nullptr;
 }
 
+/// The run whose order was answered; null if it is over or the term has ended.
+placed_run *takeAnsweredOrder(cell_leader &leader, const run_name &name)
+{
+    placed_run *run = leader.ended ? nullptr : findRun(leader, name);
+    if (run != nullptr) {
+        --run->openOrders;
+    }
+    return run;
+}
+
+/// Ends the term if a worker has refused a call because it knows a later leader.
+bool stepDownIfFenced(const cell_leader &leader, order_refusal refusal)
+{
+    if (refusal != order_refusal::Fenced) {
+        return false;
+    }
+    leader.stepDown("a worker has seen a higher fencing token");
+    return true;
+}
+
 void schedulePoll(const std::shared_ptr<cell_leader> &leader,
                   const worker_id &id,
                   milliseconds pause,
@@ -142,13 +162,8 @@
               const result<order_reply> &reply,
               const clock_reading &now)
 {
-    placed_run *run = leader->ended ? nullptr : findRun(*leader, name);
-    if (run == nullptr) {
-        return;
-    }
-    --run->openOrders;
-    if (reply && reply.value().refusal == order_refusal::Fenced) {
-        leader->stepDown("a worker has seen a higher fencing token");
+    placed_run *run = takeAnsweredOrder(*leader, name);
+    if (run == nullptr || (reply && stepDownIfFenced(*leader, reply.value().refusal))) {
         return;
     }
     if (reply && reply.value().refusal == order_refusal::None) {
@@ -194,8 +209,7 @@
     }
     session->second.polling = false;
     if (!report || report.value().refusal != order_refusal::None) {
-        if (report && report.value().refusal == order_refusal::Fenced) {
-            leader->stepDown("a worker has seen a higher fencing token");
+        if (report && stepDownIfFenced(*leader, report.value().refusal)) {
             return;
         }
         addCount(*leader->context.counters, cell_metrics::pollsMissed);
@@ -247,8 +261,7 @@
         .with("reason", names[static_cast<std::size_t>(refusal)])
         .with("placed_ms_ago", std::chrono::duration_cast<milliseconds>(now.uptime - run.placedAt).count());
     addCount(*leader->context.counters, cell_metrics::startsRefused);
-    if (refusal == order_refusal::Fenced) {
-        leader->stepDown("a worker has seen a higher fencing token");
+    if (stepDownIfFenced(*leader, refusal)) {
         return;
     }
     if (refusal == order_refusal::NoTicket) {
@@ -265,11 +278,10 @@
                const result<order_reply> &reply,
                const clock_reading &now)
 {
-    placed_run *run = leader->ended ? nullptr : findRun(*leader, name);
+    placed_run *run = takeAnsweredOrder(*leader, name);
     if (run == nullptr) {
         return;
     }
-    --run->openOrders;
     if (!reply) {
         addCount(*leader->context.counters, cell_metrics::startsUnanswered);
         log_event("start_unanswered", log_level::Warning)
@@ -330,12 +342,7 @@
     if (listing.birth > worker.birth) {
         beginLife(leader->state, worker, listing.birth);
     }
-    worker.at = listing.at;
-    worker.service = listing.service;
-    worker.rack = listing.rack;
-    worker.labels = listing.labels;
-    worker.capacity = listing.capacity;
-    worker.draining = listing.draining;
+    static_cast<worker_listing &>(worker) = listing;
     worker.listed = true;
     leader->placementDue = true;
     if (leader->sessions.try_emplace(listing.id).second) {
