Log what long-waiting steps wait for, and the passes of the leader

Cause: open; the logs could not tell the hypotheses apart, since a step that is not placed left no line. Ruled out: nothing yet. Change: a line step_waits for the five steps that wait longest, once a second, with the workers they know of, what fits there and what they wait for; cell_use names busy workers and the passes with their time.

--- a/packages/term/cell_leader.cpp
+++ b/packages/term/cell_leader.cpp
@@ -92,7 +92,10 @@
         const time_point begun = std::chrono::steady_clock::now();
         placement_outcome outcome = placeWaiting(leader->state, adviceCapacity(*leader, now), now);
         metrics &counters = *leader->context.counters;
-        recordTime(counters, cell_metrics::placementTime, std::chrono::steady_clock::now() - begun);
+        const time_point::duration took = std::chrono::steady_clock::now() - begun;
+        recordTime(counters, cell_metrics::placementTime, took);
+        ++leader->passes.count;
+        leader->passes.total += took;
         addCount(counters, cell_metrics::runsPlaced, outcome.placed.size());
         for (advice_request &request : outcome.adviceRequests) {
             requestAdvice(leader, std::move(request), now);
--- a/packages/term/cell_leader.h
+++ b/packages/term/cell_leader.h
@@ -44,6 +44,12 @@
     utc_time ended;
 };
 
+/// Placement passes since the last report.
+struct pass_figures {
+    std::size_t count = 0;
+    time_point::duration total{0};
+};
+
 /// State of the term.
 struct cell_leader : std::enable_shared_from_this<cell_leader> {
     explicit cell_leader(cell_context &daemonContext)
@@ -81,6 +87,7 @@
     time_point nextLoadAt; ///< In uptime.
     timer upkeepTimer;
     bool placementDue = false;
+    pass_figures passes;
 };
 
 /// Begins a term. `fence` is the revision at which the term's key was written.
--- a/packages/term/load_report.cpp
+++ b/packages/term/load_report.cpp
@@ -4,6 +4,7 @@
 #include "connection/cell_codec.h"
 #include "connection/cell_keys.h"
 #include "term/cell_admission.h"
+#include "term/wait_report.h"
 
 namespace sesamespar {
 
@@ -28,16 +29,18 @@
 }
 
 /// Logs the utilization of the cell.
-void logUse(const cell_leader &leader)
+void logUse(cell_leader &leader)
 {
     resources capacity;
     resources reserved;
     std::size_t runs = 0;
+    std::size_t busyWorkers = 0;
     for (const auto &[id, worker] : leader.state.workers) {
         if (worker->listed && worker->missedPolls == 0) {
             capacity = capacity + worker->capacity;
             reserved = reserved + worker->reserved;
             runs += worker->runs.size();
+            busyWorkers += worker->runs.empty() ? 0 : 1;
         }
     }
     std::uint64_t pending = 0;
@@ -50,7 +53,12 @@
         .with("runs", runs)
         .with("jobs", leader.state.jobs.size())
         .with("pending", pending)
-        .with("questions", leader.adviceRequests.size());
+        .with("questions", leader.adviceRequests.size())
+        .with("workers", leader.state.workers.size())
+        .with("busy_workers", busyWorkers)
+        .with("passes", leader.passes.count)
+        .with("pass_ms", std::chrono::duration_cast<milliseconds>(leader.passes.total).count());
+    leader.passes = {};
 }
 
 } // namespace
@@ -74,6 +82,7 @@
     }
     leader->load = load;
     logUse(*leader);
+    logWaitingSteps(leader->state, now);
     store_transaction transaction;
     transaction.conditions.push_back({cell_keys::term, store_revision(leader->fence.value)});
     transaction.writes.push_back({cell_keys::load, encodeLoad(load), {}});
