Reproduce the jobs that never start on a cell of 350 workers

Cause: not mended here. All jobs ask about the first 100 workers by id, and a gang that would fit on its suitable workers if they were empty asks no further.

--- a/test/correctness/cell_placement.cpp
+++ b/test/correctness/cell_placement.cpp
@@ -7,7 +7,9 @@
 #include "term/worker_reports.h"
 #include "term/worker_speed.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace sesamespar;
 
@@ -33,6 +35,13 @@
     state.workers[worker->id] = std::move(worker);
 }
 
+void addWorkers(cell_state &state, int count, std::int64_t cores)
+{
+    for (int number = 0; number < count; ++number) {
+        addWorker(state, "w" + std::to_string(1000 + number), cores);
+    }
+}
+
 struct job_shape {
     std::string key;
     int priority = 1;
@@ -67,10 +76,11 @@
 
 constexpr advice_capacity noAdvice{0, 0};
 
-advice_timing termsOf(double decideMs)
+advice_timing termsOf(double decideMs, double perWorkerMs = 0)
 {
     advice_timing terms;
     terms.decide = std::chrono::duration<double, std::milli>(decideMs);
+    terms.perWorker = std::chrono::duration<double, std::milli>(perWorkerMs);
     terms.valid = milliseconds(1500);
     return terms;
 }
@@ -182,6 +192,58 @@
     CHECK(job.progress.tasks[0].worker == worker_id("b"));
 }
 
+TEST_CASE("the requests of several jobs spread over all workers of a cell")
+{
+    // Regression: every job asked about the first 100 workers by id, so that the others stayed idle.
+    cell_state state;
+    addWorkers(state, 350, 16);
+    for (int number = 0; number < 20; ++number) {
+        addShape(state, {"gang" + std::to_string(number), 1, 40, 4, 5000, true, 0, 2, termsOf(550, 8)});
+    }
+    std::set<worker_id> named;
+    for (const advice_request &request : placeWaiting(state, {20, 20}, at(0)).adviceRequests) {
+        named.insert(request.workers.begin(), request.workers.end());
+    }
+    CHECK(named.size() > 300);
+}
+
+TEST_CASE("a gang that lacks capacity on its suitable workers asks about others that have it")
+{
+    // Regression: a gang whose suitable workers would have been enough if empty never asked again, although small jobs
+    // kept them busy and hundreds of other workers were idle.
+    cell_state state;
+    addWorkers(state, 200, 16);
+    addShape(state, {"gang", 1, 10, 8, 5000, true, 0, 2, termsOf(550, 8)});
+    const placement_outcome first = placeWaiting(state, {1, 1}, at(0));
+    REQUIRE(first.adviceRequests.size() == 1);
+    const advice_request &asked = first.adviceRequests.front();
+    REQUIRE(asked.workers.size() >= 5);
+    advice_response response;
+    for (std::size_t index = 0; index < 5; ++index) {
+        response.suitable.push_back({asked.workers[index], advice_ticket("t")});
+        state.workers.at(asked.workers[index])->reserved.processors = millicores(9000);
+    }
+    applyAdvice(state, asked, response, at(900).uptime);
+    const placement_outcome second = placeWaiting(state, {1, 1}, at(900));
+    REQUIRE(second.adviceRequests.size() == 1);
+    for (const worker_id &worker : second.adviceRequests.front().workers) {
+        CHECK(std::find(asked.workers.begin(), asked.workers.end(), worker) == asked.workers.end());
+    }
+}
+
+TEST_CASE("a small step on a free cell asks about few workers")
+{
+    // Regression: each step of three tasks asked about 100 workers, which took the advisor ten times as long and kept
+    // half of the daemons busy.
+    cell_state state;
+    addWorkers(state, 350, 16);
+    addShape(state, {"small", 0, 3, 2, 1000, false, 0, 2, termsOf(10, 0.14)});
+    const placement_outcome outcome = placeWaiting(state, {1, 1}, at(0));
+    REQUIRE(outcome.adviceRequests.size() == 1);
+    // The time of the request stays below twice the advisor's fixed time.
+    CHECK(0.14 * static_cast<double>(outcome.adviceRequests.front().workers.size()) < 10);
+}
+
 TEST_CASE("a worker on which jobs of several callers fail gets one run at a time")
 {
     // Guards against a worker that fails every run and keeps attracting new ones.
--- a/test/performance/cell_replay.cpp
+++ b/test/performance/cell_replay.cpp
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <map>
 #include <numeric>
+#include <optional>
 #include <random>
 
 namespace sesamespar::measure {
@@ -38,6 +39,9 @@
     bool alwaysFails = false;
     double jobValue = 0;
     std::int64_t objectiveMs = 0;
+    std::optional<std::vector<const cell_worker *>> suitable; ///< Workers that may run the job; empty before its first wait.
+    std::optional<std::int64_t> fittingSinceMs; ///< Since when the job could start; empty if it cannot or has started.
+    std::int64_t longestIdleWaitMs = 0;
 };
 
 /// A simulated run.
@@ -59,7 +63,7 @@
     std::mt19937_64 random;
     cell_state state;
     std::vector<replay_job> jobs;
-    std::map<job_key, const replay_job *> byKey;
+    std::map<job_key, replay_job *> byKey;
     std::map<const placed_run *, replay_run> runs;
     std::vector<replay_advice_request> adviceRequests;
     std::map<job_key, std::int64_t> completedMs;
@@ -136,7 +140,7 @@
         advice_timing terms;
         terms.decide = std::chrono::duration<double, std::milli>(queue.adviceMs);
         terms.perWorker = std::chrono::duration<double, std::milli>(queue.adviceMsForWorker);
-        terms.valid = milliseconds(1500);
+        terms.valid = milliseconds(world.load.ticketMs);
         policy.advice = terms;
     }
     constexpr int adviceWorkers = 30;
@@ -157,7 +161,7 @@
             }
         }
     }
-    for (const replay_job &job : world.jobs) {
+    for (replay_job &job : world.jobs) {
         world.byKey.emplace(job.accepted.key, &job);
     }
 }
@@ -184,6 +188,11 @@
     return static_cast<double>(random()) / range;
 }
 
+bool isSuitable(const replay_job &job, const worker_id &worker)
+{
+    return pseudorandomShare(worker.value + job.accepted.key.value) < job.queue->suitableShare;
+}
+
 const replay_fault *faultOf(const replay &world, const cell_worker &worker)
 {
     for (const replay_fault &fault : world.load.faults) {
@@ -275,7 +284,7 @@
         const auto found = world.byKey.find(open.request.step.job);
         advice_response response;
         for (const worker_id &worker : open.request.workers) {
-            if (pseudorandomShare(worker.value + open.request.step.job.value) < found->second->queue->suitableShare) {
+            if (isSuitable(*found->second, worker)) {
                 response.suitable.push_back({worker, advice_ticket("t")});
             }
         }
@@ -285,6 +294,52 @@
                   [&world](const replay_advice_request &open) { return open.responseMs <= world.nowMs; });
 }
 
+bool isLessThanHalfInUse(const replay &world)
+{
+    std::int64_t capacity = 0;
+    std::int64_t reserved = 0;
+    for (const auto &[id, worker] : world.state.workers) {
+        capacity += worker->capacity.processors.value;
+        reserved += worker->reserved.processors.value;
+    }
+    return 2 * reserved < capacity;
+}
+
+/// True if all tasks of the job have room twice over on the free capacity of its suitable workers.
+bool fitsTwice(const replay &world, replay_job &job)
+{
+    if (!job.suitable) {
+        job.suitable.emplace();
+        for (const auto &[id, worker] : world.state.workers) {
+            if (isSuitable(job, id)) {
+                job.suitable->push_back(worker.get());
+            }
+        }
+    }
+    const job_step &step = job.accepted.job.steps.front();
+    std::int64_t tasks = 0;
+    for (const cell_worker *worker : *job.suitable) {
+        tasks += std::max<std::int64_t>(0, freeCapacity(*worker).processors.value / step.need.processors.value);
+    }
+    return tasks >= 2 * static_cast<std::int64_t>(step.count);
+}
+
+/// Updates for how long jobs have waited although they could run.
+void watchIdleWaits(replay &world)
+{
+    const bool idle = isLessThanHalfInUse(world);
+    for (const auto &[key, job] : world.state.jobs) {
+        replay_job &watched = *world.byKey.at(key);
+        const bool waits = !isFinal(job->progress.phase) && job->steps.front().placed == 0;
+        if (!idle || !waits || !fitsTwice(world, watched)) {
+            watched.fittingSinceMs.reset();
+            continue;
+        }
+        watched.fittingSinceMs = watched.fittingSinceMs.value_or(world.nowMs);
+        watched.longestIdleWaitMs = std::max(watched.longestIdleWaitMs, world.nowMs - *watched.fittingSinceMs);
+    }
+}
+
 advice_capacity freeAdvisors(const replay &world)
 {
     const std::size_t usedLong = static_cast<std::size_t>(
@@ -334,7 +389,11 @@
         replay_figures figures;
         figures.queue = queue.name;
         for (const replay_job &job : world.jobs) {
-            if (job.queue != &queue || job.alwaysFails) {
+            if (job.queue != &queue) {
+                continue;
+            }
+            figures.longestIdleWaitMs = std::max(figures.longestIdleWaitMs, job.longestIdleWaitMs);
+            if (job.alwaysFails) {
                 continue;
             }
             ++figures.jobs;
@@ -378,6 +437,7 @@
         }
         place(world);
         storeChanges(world);
+        watchIdleWaits(world);
     }
     return count(world);
 }
@@ -512,4 +572,83 @@
     return load;
 }
 
+replay_load grownPaguriLoad()
+{
+    replay_load load = paguriLoad();
+    load.name = "grown Paguri";
+    load.workers = 350;
+    load.advisors = 32;
+    replay_queue &manifests = load.queues[0];
+    manifests.jobsPerSecond = 4.5; // 3.76 jobs of 1.2 steps.
+    manifests.meanTasks = 20;
+    manifests.taskLimit = 120;
+    manifests.adviceMs = 715;
+    manifests.adviceMsForWorker = 10.14;
+    replay_queue &quotes = load.queues[1];
+    quotes.jobsPerSecond = 14.8; // 9.86 jobs of 1.5 steps.
+    quotes.meanTasks = 25;
+    quotes.taskLimit = 150;
+    quotes.meanCores = 1.7;
+    quotes.coreLimit = 5.2;
+    quotes.jobValue = 2.62;
+    quotes.adviceMs = 130;
+    quotes.adviceMsForWorker = 1.82;
+    replay_queue &bookings = load.queues[2];
+    bookings.jobsPerSecond = 88.3;
+    bookings.meanTasks = 3;
+    bookings.taskLimit = 19;
+    bookings.meanCores = 2.5;
+    bookings.coreLimit = 7.4;
+    bookings.jobValue = 0.409;
+    bookings.adviceMs = 14.3;
+    bookings.adviceMsForWorker = 0.208;
+    return load;
+}
+
+replay_load grownPompamassettoLoad()
+{
+    replay_load load = pompamassettoLoad();
+    load.name = "grown Pompamassetto";
+    load.workers = 350;
+    load.advisors = 36;
+    load.ticketMs = 2500;
+    replay_queue &plans = load.queues[0];
+    plans.jobsPerSecond = 5.7; // 4.77 jobs of 1.2 steps.
+    plans.meanTasks = 20;
+    plans.taskLimit = 120;
+    plans.meanMs = 5000;
+    plans.durationLimitMs = 12000;
+    plans.jobValue = 12.7;
+    plans.adviceMs = 559;
+    plans.adviceMsForWorker = 8.06;
+    replay_queue &allocations = load.queues[1];
+    allocations.jobsPerSecond = 11.8; // 7.89 jobs of 1.5 steps.
+    allocations.meanTasks = 25;
+    allocations.taskLimit = 150;
+    allocations.meanMs = 3400;
+    allocations.durationLimitMs = 8400;
+    allocations.meanCores = 6.9;
+    allocations.coreLimit = 21;
+    allocations.failureShare = 0.02;
+    allocations.alwaysFailsShare = 0;
+    allocations.attempts = 2;
+    allocations.jobValue = 4.81;
+    allocations.adviceMs = 156;
+    allocations.adviceMsForWorker = 2.34;
+    replay_queue &checks = load.queues[2];
+    checks.jobsPerSecond = 138;
+    checks.meanTasks = 3;
+    checks.taskLimit = 19;
+    checks.meanMs = 640;
+    checks.durationLimitMs = 1600;
+    checks.meanCores = 9.9;
+    checks.coreLimit = 30;
+    checks.alwaysFailsShare = 0;
+    checks.attempts = 4;
+    checks.jobValue = 0.386;
+    checks.adviceMs = 9.36;
+    checks.adviceMsForWorker = 0.13;
+    return load;
+}
+
 } // namespace sesamespar::measure
--- a/test/performance/cell_replay.h
+++ b/test/performance/cell_replay.h
@@ -61,6 +61,7 @@
     std::size_t workers = 48;
     std::int64_t coresPerWorker = 16;
     std::size_t advisors = 7; ///< Machines that call the advisor, each with one request at a time.
+    std::int64_t ticketMs = 1500; ///< Validity of the advisor's tickets.
     std::int64_t lengthMs = 34000;
 };
 
@@ -72,6 +73,9 @@
     std::size_t jobs = 0; ///< Number of jobs that can succeed.
     std::size_t inTime = 0;
     std::size_t late = 0;
+    /// Longest time in which a job had no run although it fitted twice over on its suitable workers and less than half
+    /// of the cell was in use.
+    std::int64_t longestIdleWaitMs = 0;
 };
 
 /// Replays the load with a policy. The jobs depend only on the load and the seed, not on the policy.
@@ -84,4 +88,8 @@
 replay_load paguriLoad();
 replay_load pompamassettoLoad();
 
+/// The loads of the two sites after their growth to 350 workers, with the bursts of their peak days.
+replay_load grownPaguriLoad();
+replay_load grownPompamassettoLoad();
+
 } // namespace sesamespar::measure
