Give workers slots, and run placement passes at most every 10 ms

Change: workers have slots, free capacity and advice are vectors and bit sets over them, jobs that may have waiting tasks are linked in a list, and passes are at least 10 ms apart, shorter than the 30 ms for which changes are collected. job_placement is split into waiting_steps, free_capacity, step_advice and advice_selection. A worker that restarts while a request names it is assessed again.

--- a/packages/term/advice_dispatch.cpp
+++ b/packages/term/advice_dispatch.cpp
@@ -1,6 +1,7 @@
 #include "term/advice_dispatch.h"
 
 #include "base/log.h"
+#include "term/advice_selection.h"
 #include "term/job_placement.h"
 
 #include <algorithm>
--- a/packages/term/cell_leader.cpp
+++ b/packages/term/cell_leader.cpp
@@ -15,6 +15,10 @@
 /// Period of the checks that no event triggers: expired leases, overdue advice requests, the load report.
 constexpr milliseconds upkeepPeriod{100};
 
+/// Minimum time between two placement passes. Events come in hundreds to thousands a second, and a pass costs up to
+/// half a millisecond; the placements of several passes are written to the store together anyway.
+constexpr milliseconds placementPause{10};
+
 /// Adds the waits that have ended since the last call to the metrics.
 void recordWaits(cell_leader &leader)
 {
@@ -24,6 +28,34 @@
     leader.state.waits.clear();
 }
 
+/// Runs a placement pass unless the previous one was too recent; a timer then triggers it.
+void placeIfDue(const std::shared_ptr<cell_leader> &leader, const clock_reading &now)
+{
+    if (!leader->placementDue || !leader->workersListed) {
+        return;
+    }
+    if (now.uptime < leader->nextPlacementAt) {
+        if (!leader->placementTimer.is_linked()) {
+            subscribe(
+                leader->context.timers, leader->placementTimer, now.monotonic + (leader->nextPlacementAt - now.uptime));
+        }
+        return;
+    }
+    leader->placementDue = false;
+    leader->nextPlacementAt = now.uptime + placementPause;
+    const time_point begun = std::chrono::steady_clock::now();
+    placement_outcome outcome = placeWaiting(leader->state, adviceCapacity(*leader, now), now);
+    metrics &counters = *leader->context.counters;
+    const time_point::duration took = std::chrono::steady_clock::now() - begun;
+    recordTime(counters, cell_metrics::placementTime, took);
+    ++leader->passes.count;
+    leader->passes.total += took;
+    addCount(counters, cell_metrics::runsPlaced, outcome.placed.size());
+    for (advice_request &request : outcome.adviceRequests) {
+        requestAdvice(leader, std::move(request), now);
+    }
+}
+
 void runUpkeep(const std::shared_ptr<cell_leader> &leader, const clock_reading &now)
 {
     if (leader->ended) {
@@ -56,6 +88,9 @@
             runUpkeep(self, when);
         }
     };
+    // The control loop calls settleTerm after each batch of timers.
+    leader->placementTimer.fire = [](const clock_reading &) {
+    };
     recoverCell(leader);
     runUpkeep(leader, now);
     return leader;
@@ -79,6 +114,7 @@
     leader.workerList.reset();
     unsubscribe(leader.upkeepTimer);
     unsubscribe(leader.commitTimer);
+    unsubscribe(leader.placementTimer);
     leader.sessions.clear();
 }
 
@@ -87,20 +123,7 @@
     if (leader->ended || !leader->recovered) {
         return;
     }
-    if (leader->placementDue && leader->workersListed) {
-        leader->placementDue = false;
-        const time_point begun = std::chrono::steady_clock::now();
-        placement_outcome outcome = placeWaiting(leader->state, adviceCapacity(*leader, now), now);
-        metrics &counters = *leader->context.counters;
-        const time_point::duration took = std::chrono::steady_clock::now() - begun;
-        recordTime(counters, cell_metrics::placementTime, took);
-        ++leader->passes.count;
-        leader->passes.total += took;
-        addCount(counters, cell_metrics::runsPlaced, outcome.placed.size());
-        for (advice_request &request : outcome.adviceRequests) {
-            requestAdvice(leader, std::move(request), now);
-        }
-    }
+    placeIfDue(leader, now);
     sendStops(leader, now);
     writeChanges(leader, now);
 }
--- a/packages/term/cell_leader.h
+++ b/packages/term/cell_leader.h
@@ -87,6 +87,8 @@
     time_point nextLoadAt; ///< In uptime.
     timer upkeepTimer;
     bool placementDue = false;
+    timer placementTimer;
+    time_point nextPlacementAt; ///< In uptime; no placement pass before.
     pass_figures passes;
 };
 
--- a/packages/term/cell_state.cpp
+++ b/packages/term/cell_state.cpp
@@ -1,9 +1,12 @@
 #include "term/cell_state.h"
 
+#include <algorithm>
+
 namespace sesamespar {
 
 cell_state::~cell_state()
 {
+    waiting.clear();
     for (auto &entry : workers) {
         entry.second->runs.clear_and_dispose([](placed_run *run) { delete run; });
     }
@@ -52,10 +55,54 @@
             ++job->steps[stepOf(*job, task_position(position))].done;
         }
     }
+    job->history = &state.history[job->accepted.policy.queue];
     state.jobs[job->accepted.key] = job;
+    considerWaiting(state, *job);
     return job;
 }
 
+cell_worker &addWorker(cell_state &state, const worker_id &id)
+{
+    auto worker = std::make_unique<cell_worker>();
+    worker->id = id;
+    const auto slot = std::find(state.slots.begin(), state.slots.end(), nullptr);
+    worker->slot = worker_slot(static_cast<std::uint32_t>(slot - state.slots.begin()));
+    if (slot == state.slots.end()) {
+        state.slots.push_back(worker.get());
+    } else {
+        *slot = worker.get();
+    }
+    return *(state.workers[id] = std::move(worker));
+}
+
+void removeWorker(cell_state &state, const worker_id &id)
+{
+    const auto found = state.workers.find(id);
+    if (found == state.workers.end()) {
+        return;
+    }
+    forgetAdvice(state, *found->second);
+    state.ends.erase(id);
+    state.slots[found->second->slot.value] = nullptr;
+    state.workers.erase(found);
+}
+
+void forgetAdvice(cell_state &state, const cell_worker &worker)
+{
+    for (const auto &[key, job] : state.jobs) {
+        for (cell_step &step : job->steps) {
+            forgetWorker(step.advice, worker.slot);
+        }
+    }
+}
+
+void considerWaiting(cell_state &state, cell_job &job)
+{
+    if (!job.waitingHook.is_linked()) {
+        state.waiting.push_back(job);
+    }
+}
+
 void markChanged(cell_state &state, cell_job &job)
 {
     ++job.changes;
--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -8,6 +8,7 @@
 #include "request/accepted_job.h"
 #include "request/job_progress.h"
 #include "term/cell_policy.h"
+#include "term/step_advice.h"
 
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -24,6 +25,9 @@
 struct cell_job;
 struct cell_worker;
 
+/// Links a job into the list of jobs that may have waiting tasks.
+using waiting_hook = boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
 /// Stage of a run that is placed on a worker.
 enum class run_state {
     Recording, ///< The placement is being written to the store; the worker has received nothing.
@@ -66,6 +70,7 @@
 /// One worker: its latest listing and the state that the leader keeps of it. `incarnation` distinguishes restarts under
 /// the same id; a report may show a later one than the listing.
 struct cell_worker : worker_listing {
+    worker_slot slot;
     bool listed = false; ///< The worker is in the platform's list.
     bool seen = false; ///< Its current incarnation has answered a poll of this term.
     unsigned missedPolls = 0; ///< In a row.
@@ -82,22 +87,13 @@
     end_number seenEnds; ///< All ends up to this one are stored, so the worker may discard them.
 };
 
-/// A ticket for one worker.
-struct held_ticket {
-    advice_ticket ticket;
-    time_point validUntil; ///< In uptime.
-};
-
 /// A step of a job in progress.
 struct cell_step {
     std::uint32_t first = 0; ///< Position of its first task.
     std::uint32_t count = 0;
     std::uint32_t done = 0;
     std::uint32_t placed = 0; ///< Tasks with a run that has not provably ended.
-    bool adviceRequested = false; ///< A request to the advisor is in progress.
-    time_point nextAdviceAt; ///< In uptime; no request to the advisor before.
-    std::map<worker_id, worker_incarnation> assessedWorkers; ///< Workers whose suitability is known.
-    std::map<worker_id, held_ticket> suitable; ///< Workers that may run the step, with their tickets.
+    step_advice advice; ///< What the advisor has said about the workers for this step.
     run_number failedRun; ///< Latest run of a gang that was counted as a failure.
 };
 
@@ -107,6 +103,8 @@
     job_progress progress;
     std::vector<cell_step> steps;
     std::vector<placed_run *> runs; ///< By position; null if nothing is placed.
+    struct queue_history *history = nullptr; ///< Of the job's queue.
+    waiting_hook waitingHook;
     bool cancelled = false; ///< The caller has cancelled the job.
     bool begun = false; ///< A worker has begun one of its tasks; see markBegun.
 
@@ -120,9 +118,15 @@
 
 using cell_job_ptr = boost::intrusive_ptr<cell_job>;
 
-/// Durations of the tasks of a queue, which correct the estimates of the callers.
+/// Jobs that may have waiting tasks.
+using waiting_list =
+    boost::intrusive::list<cell_job,
+                           boost::intrusive::member_hook<cell_job, waiting_hook, &cell_job::waitingHook>,
+                           boost::intrusive::constant_time_size<false>>;
+
+/// What was learned from the earlier jobs of a queue.
 struct queue_history {
-    double meanMs = 0; ///< Moving mean; 0 before the first sample.
+    double meanMs = 0; ///< Moving mean of the durations of tasks; 0 before the first sample.
 };
 
 /// End of a run that the worker may discard after the change of the job is stored.
@@ -136,9 +140,11 @@
 struct cell_state {
     cell_policy policy;
     std::map<worker_id, std::unique_ptr<cell_worker>> workers;
+    std::vector<cell_worker *> slots; ///< The workers by their slot; null for a free slot.
     std::unordered_map<job_key, cell_job_ptr> jobs; ///< Non-final jobs, and final ones with runs or unstored changes.
     std::map<worker_id, std::map<end_number, unstored_end>> ends;
     std::map<queue_id, queue_history> history;
+    waiting_list waiting; ///< Contains every job with waiting tasks, and others until the next placement pass.
     double meanSpeed = 1; ///< Moving mean over all workers; corrects estimates that are off in one direction.
     bool stopsRequested = false; ///< Some run may need a stop that has not been sent.
     std::vector<cell_job_ptr> changed; ///< Jobs whose progress must be written, without duplicates.
@@ -162,6 +168,18 @@
 /// Adds a job that is not in the state yet. `progress` may lack trailing tasks without runs.
 cell_job_ptr addJob(cell_state &state, accepted_job accepted, job_progress progress);
 
+/// Adds a worker that is not in the state yet and gives it a slot.
+cell_worker &addWorker(cell_state &state, const worker_id &id);
+
+/// Removes a worker without runs, with all that the steps know of it.
+void removeWorker(cell_state &state, const worker_id &id);
+
+/// Discards what the steps know of a worker, for example because it has restarted.
+void forgetAdvice(cell_state &state, const cell_worker &worker);
+
+/// Adds a job to those that the next placement pass considers.
+void considerWaiting(cell_state &state, cell_job &job);
+
 /// Counts a change of the job's progress and queues the progress for writing.
 void markChanged(cell_state &state, cell_job &job);
 
--- a/packages/term/job_placement.h
+++ b/packages/term/job_placement.h
@@ -16,9 +16,6 @@
 /// tasks 550 ms and more.
 constexpr std::chrono::duration<double, std::milli> longAdvice{200};
 
-/// Time that the advisor needs for a request with that many workers.
-std::chrono::duration<double, std::milli> adviceTime(const advice_timing &terms, std::size_t workers);
-
 /// Actions that result from a placement pass.
 struct placement_outcome {
     std::vector<placed_run *> placed; ///< Each must be written to the store before its start is sent.
--- a/packages/term/objective.cpp
+++ b/packages/term/objective.cpp
@@ -38,12 +38,11 @@
 milliseconds expectedDuration(const cell_state &state, const cell_job &job, std::uint32_t step)
 {
     const auto estimate = static_cast<double>(job.accepted.job.steps[step].estimate.count());
-    const auto history = state.history.find(job.accepted.policy.queue);
-    if (history == state.history.end() || history->second.meanMs == 0) {
+    if (job.history->meanMs == 0) {
         return milliseconds(static_cast<std::int64_t>(estimate));
     }
     const double weight = state.policy.estimateWeight;
-    return milliseconds(static_cast<std::int64_t>(weight * estimate + (1 - weight) * history->second.meanMs));
+    return milliseconds(static_cast<std::int64_t>(weight * estimate + (1 - weight) * job.history->meanMs));
 }
 
 milliseconds objectiveOf(const cell_state &state, const cell_job &job)
--- a/packages/term/run_lifecycle.cpp
+++ b/packages/term/run_lifecycle.cpp
@@ -56,10 +56,10 @@
     }
 }
 
-void recordDuration(cell_state &state, const cell_job &job, const placed_run &run, const clock_reading &now)
+void recordDuration(const cell_job &job, const placed_run &run, const clock_reading &now)
 {
     const double took = std::chrono::duration<double, std::milli>(now.uptime - run.placedAt).count();
-    queue_history &history = state.history[job.accepted.policy.queue];
+    queue_history &history = *job.history;
     history.meanMs = history.meanMs == 0 ? took : history.meanMs + historyWeight * (took - history.meanMs);
 }
 
@@ -143,7 +143,7 @@
 void handleDone(
     cell_state &state, cell_job &job, cell_step &step, const placed_run &run, bool gang, const clock_reading &now)
 {
-    recordDuration(state, job, run, now);
+    recordDuration(job, run, now);
     if (gang) {
         for (std::uint32_t position = step.first; position < step.first + step.count; ++position) {
             markDone(job, step, position);
@@ -231,6 +231,8 @@
         return;
     }
     markChanged(state, *job);
+    // The task waits again, or its end may allow a later step to begin.
+    considerWaiting(state, *job);
     if (how == run_end::Done) {
         handleDone(state, *job, step, run, gang, now);
         return;
@@ -262,6 +264,7 @@
 {
     markDone(job, job.steps[stepOf(job, position)], position.value);
     markChanged(state, job);
+    considerWaiting(state, job);
     completeIfDone(state, job, now);
 }
 
--- a/packages/term/wait_report.cpp
+++ b/packages/term/wait_report.cpp
@@ -1,6 +1,7 @@
 #include "term/wait_report.h"
 
 #include "base/log.h"
+#include "term/advice_selection.h"
 
 #include <algorithm>
 
@@ -13,65 +14,27 @@
 /// Maximum number of lines in one report, which is written once a second.
 constexpr std::size_t maxLines = 5;
 
-/// A step without a run whose earlier steps are done.
-struct stalled_step {
-    const cell_job *job = nullptr;
-    std::uint32_t step = 0;
-};
-
 /// Tasks of the step that fit on its suitable workers.
 struct step_fits {
     std::int64_t now = 0;
     std::int64_t empty = 0;
 };
 
-bool isStalled(const cell_job &job, std::uint32_t step)
-{
-    const std::vector<std::uint32_t> &after = job.accepted.job.steps[step].after;
-    const bool ready = std::all_of(after.begin(), after.end(), [&job](std::uint32_t earlier) {
-        return job.steps[earlier].done == job.steps[earlier].count;
-    });
-    return ready && job.steps[step].placed == 0 && job.steps[step].done < job.steps[step].count;
-}
-
-std::vector<stalled_step> listStalled(const cell_state &state, utc_time now)
+step_fits countStepFits(const cell_state &state, const free_capacity &free, const waiting_step &waiting)
 {
-    std::vector<stalled_step> stalled;
-    for (const auto &[key, job] : state.jobs) {
-        if (isFinal(job->progress.phase) || now.value - job->accepted.acceptedAt.value < reportedAfterMs) {
-            continue;
-        }
-        for (std::uint32_t step = 0; step < job->steps.size(); ++step) {
-            if (isStalled(*job, step)) {
-                stalled.push_back({job.get(), step});
-            }
-        }
-    }
-    return stalled;
-}
-
-step_fits countFits(const cell_state &state, const stalled_step &stalled, time_point uptime)
-{
-    const resources &need = stalled.job->accepted.job.steps[stalled.step].need;
-    const auto fitting = [&need](const resources &amount) {
-        return need.processors.value <= 0 ? 0
-                                          : std::max<std::int64_t>(amount.processors.value, 0) / need.processors.value;
-    };
     step_fits total;
-    for (const auto &[id, ticket] : stalled.job->steps[stalled.step].suitable) {
-        const auto worker = state.workers.find(id);
-        if (worker != state.workers.end() && acceptsRuns(*worker->second, uptime)) {
-            total.now += fitting(freeCapacity(*worker->second));
-            total.empty += fitting(worker->second->capacity);
-        }
+    for (const suitable_worker &entry : waiting.state().advice.suitable) {
+        const cell_worker &worker = *state.slots[entry.worker.value];
+        total.now += countTaskFits(waiting, worker, free.remaining[entry.worker.value]);
     }
+    total.empty = countPotentialFits(state, waiting);
     return total;
 }
 
 /// What the step waits for.
 const char *reasonOf(const cell_step &step, const step_fits &found)
 {
-    if (step.adviceRequested) {
+    if (step.advice.openRequests > 0) {
         return "advice";
     }
     const auto tasks = static_cast<std::int64_t>(step.count - step.done);
@@ -83,29 +46,33 @@
 
 } // namespace
 
-void logWaitingSteps(const cell_state &state, const clock_reading &now)
+void logWaitingSteps(cell_state &state, const clock_reading &now)
 {
-    std::vector<stalled_step> stalled = listStalled(state, now.utc);
+    std::vector<waiting_step> stalled = collectWaiting(state, now.utc);
+    std::erase_if(stalled, [&now](const waiting_step &waiting) {
+        return waiting.state().placed > 0 || now.utc.value - waiting.job->accepted.acceptedAt.value < reportedAfterMs;
+    });
     const std::size_t lines = std::min(stalled.size(), maxLines);
     std::partial_sort(stalled.begin(),
                       stalled.begin() + static_cast<std::ptrdiff_t>(lines),
                       stalled.end(),
-                      [](const stalled_step &left, const stalled_step &right) {
+                      [](const waiting_step &left, const waiting_step &right) {
                           return left.job->accepted.acceptedAt < right.job->accepted.acceptedAt;
                       });
+    const free_capacity free = measureFree(state, now.uptime);
     for (std::size_t index = 0; index < lines; ++index) {
-        const cell_job &job = *stalled[index].job;
-        const cell_step &step = job.steps[stalled[index].step];
-        const step_fits found = countFits(state, stalled[index], now.uptime);
+        const waiting_step &waiting = stalled[index];
+        const cell_step &step = waiting.state();
+        const step_fits found = countStepFits(state, free, waiting);
         log_event("step_waits")
-            .with("job", job.accepted.key)
-            .with("queue", job.accepted.policy.queue)
-            .with("step", stalled[index].step)
+            .with("job", waiting.job->accepted.key)
+            .with("queue", waiting.job->accepted.policy.queue)
+            .with("step", waiting.step)
             .with("tasks", step.count - step.done)
-            .with("gang", job.accepted.job.steps[stalled[index].step].gang ? 1 : 0)
-            .with("waited_ms", now.utc.value - job.accepted.acceptedAt.value)
-            .with("assessed", step.assessedWorkers.size())
-            .with("suitable", step.suitable.size())
+            .with("gang", waiting.declared().gang ? 1 : 0)
+            .with("waited_ms", now.utc.value - waiting.job->accepted.acceptedAt.value)
+            .with("assessed", step.advice.assessed.count())
+            .with("suitable", step.advice.suitable.size())
             .with("fit_now", found.now)
             .with("fit_empty", found.empty)
             .with("reason", reasonOf(step, found))
--- a/packages/term/worker_reports.cpp
+++ b/packages/term/worker_reports.cpp
@@ -127,6 +127,7 @@
             .with("runs", worker.runs.size());
     }
     state.ends.erase(worker.id);
+    forgetAdvice(state, worker);
     worker.incarnation = incarnation;
     worker.seen = false;
     worker.clock.reset();
--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -267,7 +267,7 @@
         return;
     }
     if (refusal == order_refusal::NoTicket) {
-        run.job->steps[stepOf(*run.job, run.position)].suitable[run.worker->id].validUntil = {};
+        expireTicket(run.job->steps[stepOf(*run.job, run.position)].advice, run.worker->slot);
     } else {
         run.worker->record.avoidedUntil = std::max(run.worker->record.avoidedUntil, now.uptime + refusalPause);
     }
@@ -397,8 +397,8 @@
     order.checkpoint = job.progress.tasks[run.position.value].checkpoint;
     order.leaseUntil = grantLease(*leader, worker, now);
     order.fence = leader->fence;
-    if (const auto ticket = step.suitable.find(worker.id); ticket != step.suitable.end()) {
-        order.ticket = ticket->second.ticket;
+    if (const suitable_worker *entry = findSuitable(step.advice, worker.slot)) {
+        order.ticket = entry->ticket;
     }
     if (!order.leaseUntil) {
         // An earlier order without a reply may still take effect, so the run stays until a stop is acknowledged or the
@@ -467,22 +467,21 @@
             endAllRuns(leader.state, worker, now);
         }
         if (!worker.listed && worker.runs.empty() && leader.workersListed && worker.missedPolls > 0) {
-            leader.state.ends.erase(worker.id);
-            leader.sessions.erase(worker.id);
-            leader.state.workers.erase(entry);
+            const worker_id id = worker.id;
+            leader.sessions.erase(id);
+            removeWorker(leader.state, id);
         }
     }
 }
 
 cell_worker &findOrAddWorker(cell_leader &leader, const worker_id &id)
 {
-    auto &worker = leader.state.workers[id];
-    if (!worker) {
-        worker = std::make_unique<cell_worker>();
-        worker->id = id;
-        worker->leasesEndBy = leader.beganAt + extensionAuthority + longestLeaseTime(leader);
+    if (cell_worker *known = findWorker(leader, id)) {
+        return *known;
     }
-    return *worker;
+    cell_worker &worker = addWorker(leader.state, id);
+    worker.leasesEndBy = leader.beganAt + extensionAuthority + longestLeaseTime(leader);
+    return worker;
 }
 
 } // namespace sesamespar
--- a/test/correctness/cell_placement.cpp
+++ b/test/correctness/cell_placement.cpp
@@ -25,14 +25,12 @@
 
 void addWorker(cell_state &state, const std::string &name, std::int64_t cores)
 {
-    auto worker = std::make_unique<cell_worker>();
-    worker->id = worker_id(name);
-    worker->service = service_id("s");
-    worker->capacity = {millicores(cores * 1000), mebibytes(32768), accelerators(0)};
-    worker->listed = true;
-    worker->seen = true;
-    worker->incarnation = worker_incarnation(1);
-    state.workers[worker->id] = std::move(worker);
+    cell_worker &worker = sesamespar::addWorker(state, worker_id(name));
+    worker.service = service_id("s");
+    worker.capacity = {millicores(cores * 1000), mebibytes(32768), accelerators(0)};
+    worker.listed = true;
+    worker.seen = true;
+    worker.incarnation = worker_incarnation(1);
 }
 
 void addWorkers(cell_state &state, int count, std::int64_t cores)
--- a/test/performance/cell_replay.cpp
+++ b/test/performance/cell_replay.cpp
@@ -1,5 +1,6 @@
 #include "cell_replay.h"
 
+#include "term/advice_selection.h"
 #include "term/job_placement.h"
 #include "term/run_lifecycle.h"
 #include "term/worker_speed.h"
@@ -39,7 +40,8 @@
     bool alwaysFails = false;
     double jobValue = 0;
     std::int64_t objectiveMs = 0;
-    std::optional<std::vector<const cell_worker *>> suitable; ///< Workers that may run the job; empty before its first wait.
+    std::optional<std::vector<const cell_worker *>>
+        suitable; ///< Workers that may run the job; empty before its first wait.
     std::optional<std::int64_t> fittingSinceMs; ///< Since when the job could start; empty if it cannot or has started.
     std::int64_t longestIdleWaitMs = 0;
 };
@@ -169,14 +171,12 @@
 void addWorkers(replay &world)
 {
     for (std::size_t number = 0; number < world.load.workers; ++number) {
-        auto worker = std::make_unique<cell_worker>();
-        worker->id = worker_id("w" + std::to_string(1000 + number));
-        worker->service = service_id("s");
-        worker->capacity = {millicores(world.load.coresPerWorker * 1000), mebibytes(1048576), accelerators(0)};
-        worker->listed = true;
-        worker->seen = true;
-        worker->incarnation = worker_incarnation(1);
-        world.state.workers[worker->id] = std::move(worker);
+        cell_worker &worker = addWorker(world.state, worker_id("w" + std::to_string(1000 + number)));
+        worker.service = service_id("s");
+        worker.capacity = {millicores(world.load.coresPerWorker * 1000), mebibytes(1048576), accelerators(0)};
+        worker.listed = true;
+        worker.seen = true;
+        worker.incarnation = worker_incarnation(1);
     }
 }
 
