Ask the advisor about as many workers as a step needs, in turn over the cell

Cause: each request named the first 100 workers by id whose suitability was unknown, whatever the step needed. All jobs competed on these, and quick steps took ten times the advisor time that they needed. Ruled out: the rule for gangs alone; it is unchanged here and its case still fails. Change: a request names as many workers as are expected to have room for the step, learned from the share of suitable workers of its queue, those with free capacity first and those named longest ago first; if the cell is full, enough to wait on a broad choice. A wide step has up to four requests in progress.

--- a/packages/term/advice_selection.h
+++ b/packages/term/advice_selection.h
@@ -21,8 +21,12 @@
 /// Number of tasks of the step that its suitable workers would have room for if they were empty.
 std::int64_t countPotentialFits(const cell_state &state, const waiting_step &waiting);
 
-/// Selects workers whose suitability for the step is unknown, at most as many as one request may name.
+/// Selects workers whose suitability for the step is unknown, at most as many as one request may name. `missing` is the
+/// number of tasks without a place on a suitable worker. Returns nothing if further workers would not help: the request
+/// names as many workers as are expected to have `missing` places, or, if the cell is too full for that, enough for the
+/// step to wait for capacity that is freed on a broad choice of workers. Starts at another worker for each step, so
+/// that the jobs of a cell spread over all workers.
 std::vector<worker_slot>
-selectUnassessed(const cell_state &state, const free_capacity &free, const waiting_step &waiting);
+selectUnassessed(cell_state &state, const free_capacity &free, const waiting_step &waiting, std::size_t missing);
 
 } // namespace sesamespar
--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -127,6 +127,7 @@
 /// What was learned from the earlier jobs of a queue.
 struct queue_history {
     double meanMs = 0; ///< Moving mean of the durations of tasks; 0 before the first sample.
+    double suitableShare = 0.5; ///< Moving mean of the share of workers that may run a step.
 };
 
 /// End of a run that the worker may discard after the change of the job is stored.
@@ -141,6 +142,7 @@
     cell_policy policy;
     std::map<worker_id, std::unique_ptr<cell_worker>> workers;
     std::vector<cell_worker *> slots; ///< The workers by their slot; null for a free slot.
+    worker_slot nextAdvised; ///< Slot after the last worker that a request to the advisor named.
     std::unordered_map<job_key, cell_job_ptr> jobs; ///< Non-final jobs, and final ones with runs or unstored changes.
     std::map<worker_id, std::map<end_number, unstored_end>> ends;
     std::map<queue_id, queue_history> history;
--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -17,6 +17,13 @@
 constexpr milliseconds ticketMargin{150};
 /// Number of tasks that fit on the workers of a request for new tickets, as a multiple of the waiting tasks.
 constexpr std::size_t advisedFitsPerTask = 2;
+/// Maximum number of requests in progress for one step. A gang of 60 large tasks needs about 350 workers assessed.
+constexpr unsigned maxOpenRequests = 4;
+/// Pause before the unassessed workers of a step are looked at again, if none of them would have helped. Selecting
+/// takes about 10 us, and hundreds of steps may wait on a full cell.
+constexpr milliseconds selectionPause{100};
+/// Weight of the newest response in the moving mean of a queue's share of suitable workers.
+constexpr double shareWeight = 0.1;
 /// Maximum number of workers in one log line, which a wide gang would make very long.
 constexpr std::size_t maxWorkersLogged = 24;
 
@@ -131,7 +138,8 @@
 bool mayRequest(const placement_pass &pass, const waiting_step &waiting, std::size_t workers)
 {
     const step_advice &advice = waiting.state().advice;
-    if (!waiting.job->accepted.policy.advice || advice.openRequests > 0 || pass.now.uptime < advice.nextRequestAt) {
+    if (!waiting.job->accepted.policy.advice || advice.openRequests >= maxOpenRequests
+        || pass.now.uptime < advice.nextRequestAt) {
         return false;
     }
     const bool isLong = adviceTime(*waiting.job->accepted.policy.advice, workers) > longAdvice;
@@ -161,11 +169,19 @@
     return true;
 }
 
-/// Requests advice for workers whose suitability for the step is unknown.
-void requestUnknownSuitability(placement_pass &pass, const waiting_step &waiting)
+/// Requests advice for workers whose suitability for the step is unknown, if that may provide places for the missing
+/// tasks.
+void requestUnknownSuitability(placement_pass &pass, const waiting_step &waiting, std::size_t missing)
 {
-    if (mayRequest(pass, waiting, 1)) {
-        addAdviceRequest(pass, waiting, selectUnassessed(pass.state, pass.free, waiting));
+    step_advice &advice = waiting.state().advice;
+    while (pass.now.uptime >= advice.nextSelectionAt && mayRequest(pass, waiting, advice.wantedWorkers)) {
+        const std::vector<worker_slot> workers = selectUnassessed(pass.state, pass.free, waiting, missing);
+        if (workers.empty()) {
+            advice.nextSelectionAt = pass.now.uptime + selectionPause;
+            advice.wantedWorkers = 1;
+            return;
+        }
+        advice.wantedWorkers = addAdviceRequest(pass, waiting, workers) ? 1 : workers.size();
     }
 }
 
@@ -281,7 +297,7 @@
         // True if the gang would fit on its suitable workers if they were empty.
         const bool couldFit = countPotentialFits(pass.state, waiting) >= static_cast<std::int64_t>(tasks.size());
         if (!couldFit) {
-            requestUnknownSuitability(pass, waiting);
+            requestUnknownSuitability(pass, waiting, tasks.size() - places.size());
         } else if (pass.reservingGangs < pass.state.policy.maxReservingGangs) {
             ++pass.reservingGangs;
             deductCapacity(pass, places, declared.need);
@@ -309,8 +325,8 @@
     if (placed < places.size()) {
         requestTickets(pass, waiting, candidates, placed + (tasks.size() - placed) * advisedFitsPerTask);
     }
-    if (placed == places.size() && places.size() < tasks.size()) {
-        requestUnknownSuitability(pass, waiting);
+    if (places.size() < tasks.size()) {
+        requestUnknownSuitability(pass, waiting, tasks.size() - places.size());
     }
     if (waiting.state().advice.openRequests > 0) {
         std::erase_if(places, [](const candidate &place) { return place.ticket == ticket_state::Valid; });
@@ -347,6 +363,8 @@
         tickets.emplace(advised.worker, advised.ticket);
     }
     const milliseconds valid = job.accepted.policy.advice ? job.accepted.policy.advice->valid : milliseconds(0);
+    double assessed = 0;
+    double suitable = 0;
     for (const worker_id &id : request.workers) {
         const auto worker = state.workers.find(id);
         // A worker that has restarted since the request is no longer in the set.
@@ -355,12 +373,19 @@
         }
         const worker_slot slot = worker->second->slot;
         const auto ticket = tickets.find(id);
+        if (!contains(advice.assessed, slot)) {
+            ++assessed;
+            suitable += ticket != tickets.end() ? 1 : 0;
+        }
         forgetWorker(advice, slot);
         insert(advice.assessed, slot);
         if (ticket != tickets.end()) {
             setSuitable(advice, {slot, ticket->second, sentAt + valid});
         }
     }
+    if (assessed > 0) {
+        job.history->suitableShare += shareWeight * (suitable / assessed - job.history->suitableShare);
+    }
 }
 
 void onAdviceFailed(cell_state &state, const advice_request &request, time_point nextAdviceAt)
--- a/packages/term/step_advice.h
+++ b/packages/term/step_advice.h
@@ -36,6 +36,8 @@
     worker_set requested; ///< Workers that are named in requests in progress.
     unsigned openRequests = 0;
     time_point nextRequestAt; ///< In uptime; no request before.
+    time_point nextSelectionAt; ///< In uptime; before, no unassessed worker would help.
+    std::size_t wantedWorkers = 1; ///< Length of the next request, as far as it is known.
 };
 
 /// Returns the entry of a worker, or null if the worker is not known to be suitable.
