Let a gang that lacks capacity ask about further workers that have it

Cause: a gang asked about further workers only if it would not fit on its suitable ones when they were empty; capacity was gathered for the first two gangs only. Ruled out: the choice of workers alone; with it mended the case still failed. Change: a gang without enough places asks about unassessed workers that have free capacity for the missing tasks; the gangs for which capacity is gathered are bounded by a share of the cell instead of a count.

--- a/packages/term/cell_policy.h
+++ b/packages/term/cell_policy.h
@@ -26,9 +26,12 @@
     work_order order = work_order::DeadlineForecast;
     /// Addresses gangs several times as large as a worker among many small tasks.
     worker_order workers = worker_order::LeastFreeCapacity;
-    /// Maximum number of gangs, in the order of placement, for which freed capacity is reserved until they can start.
-    /// Addresses a full cell, in which small tasks would use all freed capacity before there is enough for a gang.
-    std::size_t maxReservingGangs = 2;
+    /// Largest total need of the gangs, in the order of placement, for which freed capacity is reserved until they can
+    /// start, as a share of the cell's processors. Addresses a full cell, in which small tasks would use all freed
+    /// capacity before there is enough for a gang.
+    double gatheringShare = 0.15;
+    /// Number of gangs for which freed capacity is reserved even if they need more than that share.
+    std::size_t minGatheringGangs = 2;
     /// Weight of the caller's estimate of a duration against the mean of the queue's tasks. Addresses estimates that
     /// are off by up to nine tenths. The durations of a queue's tasks spread by about half of their mean, so the mean
     /// is about as accurate as an estimate.
--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -34,7 +34,8 @@
     free_capacity free;
     advice_capacity capacity;
     placement_outcome outcome;
-    std::size_t reservingGangs = 0; ///< Gangs for which capacity was kept in this pass.
+    std::size_t gatheringGangs = 0; ///< Gangs for which capacity was kept in this pass.
+    std::int64_t gatheringMillicores = 0; ///< Total need of these gangs.
 };
 
 /// What is known of the ticket for a worker, in the order of preference.
@@ -285,8 +286,22 @@
     return placed;
 }
 
+/// True if the capacity that is free on the workers of a gang may be kept until there is enough for all tasks.
+bool mayGather(const placement_pass &pass, const waiting_step &waiting)
+{
+    const auto count = static_cast<std::int64_t>(waiting.state().count);
+    if (countPotentialFits(pass.state, waiting) < count) {
+        return false;
+    }
+    const cell_policy &policy = pass.state.policy;
+    const std::int64_t need = waiting.declared().need.processors.value * count;
+    const double share = policy.gatheringShare * static_cast<double>(pass.free.total.processors.value);
+    return pass.gatheringGangs < policy.minGatheringGangs
+        || static_cast<double>(pass.gatheringMillicores + need) <= share;
+}
+
 /// Places all tasks of a gang or none. Free capacity of its workers is kept for the gang while its tickets are
-/// requested and, for up to `maxReservingGangs` gangs, until there is enough for all tasks.
+/// requested and, for a limited number of gangs, until there is enough for all tasks.
 void placeGang(placement_pass &pass, const waiting_step &waiting)
 {
     const job_step &declared = waiting.declared();
@@ -294,12 +309,10 @@
     const std::vector<candidate> candidates = listCandidates(pass, waiting);
     const std::vector<candidate> places = choosePlaces(candidates, tasks.size());
     if (places.size() < tasks.size()) {
-        // True if the gang would fit on its suitable workers if they were empty.
-        const bool couldFit = countPotentialFits(pass.state, waiting) >= static_cast<std::int64_t>(tasks.size());
-        if (!couldFit) {
-            requestUnknownSuitability(pass, waiting, tasks.size() - places.size());
-        } else if (pass.reservingGangs < pass.state.policy.maxReservingGangs) {
-            ++pass.reservingGangs;
+        requestUnknownSuitability(pass, waiting, tasks.size() - places.size());
+        if (mayGather(pass, waiting)) {
+            ++pass.gatheringGangs;
+            pass.gatheringMillicores += declared.need.processors.value * waiting.state().count;
             deductCapacity(pass, places, declared.need);
         }
         return;
--- a/test/performance/measure_policies.cpp
+++ b/test/performance/measure_policies.cpp
@@ -34,7 +34,8 @@
     cell_policy simplest;
     simplest.order = work_order::Arrival;
     simplest.workers = worker_order::Name;
-    simplest.maxReservingGangs = 0;
+    simplest.gatheringShare = 0;
+    simplest.minGatheringGangs = 0;
     simplest.estimateWeight = 1;
     simplest.failedTasksElsewhere = false;
     simplest.movesSlowRuns = false;
@@ -46,7 +47,10 @@
     };
     without("first in first out", [](cell_policy &policy) { policy.order = work_order::Arrival; });
     without("first fit", [](cell_policy &policy) { policy.workers = worker_order::Name; });
-    without("no room gathered for gangs", [](cell_policy &policy) { policy.maxReservingGangs = 0; });
+    without("no room gathered for gangs", [](cell_policy &policy) {
+        policy.gatheringShare = 0;
+        policy.minGatheringGangs = 0;
+    });
     without("estimates as given", [](cell_policy &policy) { policy.estimateWeight = 1; });
     without("failed tasks anywhere", [](cell_policy &policy) { policy.failedTasksElsewhere = false; });
     without("slow runs left where they are", [](cell_policy &policy) { policy.movesSlowRuns = false; });
--- a/test/performance/policy_gains.cpp
+++ b/test/performance/policy_gains.cpp
@@ -33,7 +33,8 @@
     cell_policy policy;
     policy.order = work_order::Arrival;
     policy.workers = worker_order::Name;
-    policy.maxReservingGangs = 0;
+    policy.gatheringShare = 0;
+    policy.minGatheringGangs = 0;
     return policy;
 }
 
