Leave tickets more time when starts are delayed

Cause: a ticket with 150 ms left was used, however long the leader took from the placement to the start. Ruled out: tickets that the advisor gave for a shorter time; the refused starts came later than their validity. Change: the leader measures the mean delay and leaves twice that, up to half of the validity. Measured: the case fails with the fixed margin and passes now.

--- a/packages/term/cell_state.cpp
+++ b/packages/term/cell_state.cpp
@@ -4,6 +4,13 @@
 
 namespace sesamespar {
 
+namespace {
+
+/// Weight of the newest start in the mean delay: about one second of starts on a cell of 48 workers.
+constexpr double startDelayWeight = 0.01;
+
+} // namespace
+
 cell_state::~cell_state()
 {
     waiting.clear();
@@ -120,6 +127,12 @@
     }
 }
 
+void recordStartDelay(cell_state &state, const placed_run &run, const clock_reading &now)
+{
+    const double took = std::chrono::duration<double, std::milli>(now.uptime - run.placedAt).count();
+    state.startDelayMs += startDelayWeight * (took - state.startDelayMs);
+}
+
 resources freeCapacity(const cell_worker &worker)
 {
     return worker.capacity - worker.reserved;
--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -148,6 +148,7 @@
     std::map<queue_id, queue_history> history;
     waiting_list waiting; ///< Contains every job with waiting tasks, and others until the next placement pass.
     double meanSpeed = 1; ///< Moving mean over all workers; corrects estimates that are off in one direction.
+    double startDelayMs = 0; ///< Moving mean of the time from the placement of a run to its start.
     bool stopsRequested = false; ///< Some run may need a stop that has not been sent.
     std::vector<cell_job_ptr> changed; ///< Jobs whose progress must be written, without duplicates.
     std::vector<time_point::duration> waits; ///< From acceptance to the first begun task; not in the metrics yet.
@@ -188,6 +189,9 @@
 /// Marks that a worker has begun one of the job's tasks. The first call records the wait of the job.
 void markBegun(cell_state &state, cell_job &job, const clock_reading &now);
 
+/// Updates the mean time from the placement of a run to its start.
+void recordStartDelay(cell_state &state, const placed_run &run, const clock_reading &now);
+
 /// Capacity of a worker that is not reserved.
 resources freeCapacity(const cell_worker &worker);
 
--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -12,9 +12,11 @@
 
 namespace {
 
-/// Minimum remaining validity of a ticket for a placement. The placement must be stored and the start sent, which takes
-/// two round trips.
-constexpr milliseconds ticketMargin{150};
+/// Minimum remaining validity of a ticket for a placement, if starts are not delayed. The placement must be stored and
+/// the start sent, which takes two round trips.
+constexpr milliseconds leastTicketMargin{150};
+/// Minimum remaining validity as a multiple of the mean delay of starts.
+constexpr double marginPerDelay = 2;
 /// Number of tasks that fit on the workers of a request for new tickets, as a multiple of the waiting tasks.
 constexpr std::size_t advisedFitsPerTask = 2;
 /// Maximum number of requests in progress for one step. A gang of 60 large tasks needs about 350 workers assessed.
@@ -67,9 +69,17 @@
     return false;
 }
 
-ticket_state ticketOf(const step_advice &advice, const suitable_worker &entry, time_point uptime)
+/// Minimum remaining validity of a ticket for a placement. A leader that is slow to start runs leaves more; at most half
+/// of the validity, so that a new ticket can be used.
+milliseconds ticketMargin(const cell_state &state, milliseconds valid)
 {
-    if (entry.validUntil >= uptime + ticketMargin) {
+    const milliseconds needed(static_cast<std::int64_t>(marginPerDelay * state.startDelayMs));
+    return std::max(leastTicketMargin, std::min(needed, valid / 2));
+}
+
+ticket_state ticketOf(const step_advice &advice, const suitable_worker &entry, time_point latestUse)
+{
+    if (entry.validUntil >= latestUse) {
         return ticket_state::Valid;
     }
     return contains(advice.requested, entry.worker) ? ticket_state::Requested : ticket_state::Expired;
@@ -121,8 +131,9 @@
     };
     if (waiting.job->accepted.policy.advice) {
         const step_advice &advice = waiting.state().advice;
+        const milliseconds margin = ticketMargin(pass.state, waiting.job->accepted.policy.advice->valid);
         for (const suitable_worker &entry : advice.suitable) {
-            consider(entry.worker, ticketOf(advice, entry, pass.now.uptime));
+            consider(entry.worker, ticketOf(advice, entry, pass.now.uptime + margin));
         }
     } else {
         for (std::uint32_t slot = 0; slot < pass.state.slots.size(); ++slot) {
--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -410,6 +410,9 @@
         }
         return;
     }
+    if (!run.sent) {
+        recordStartDelay(leader->state, run, now);
+    }
     run.sent = true;
     run.state = run_state::Starting;
     ++run.openOrders;
--- a/test/correctness/cell_placement.cpp
+++ b/test/correctness/cell_placement.cpp
@@ -190,6 +190,27 @@
     CHECK(job.progress.tasks[0].worker == worker_id("b"));
 }
 
+TEST_CASE("a leader that starts runs late does not use tickets that expire before the start")
+{
+    // Regression: with 1.3 s from the placement to the start, workers refused hundreds of starts for expired tickets.
+    cell_state state;
+    addWorker(state, "a", 4);
+    cell_job &earlier = addShape(state, {"earlier", 0, 1, 1, 1000});
+    placeWaiting(state, noAdvice, at(0));
+    REQUIRE(earlier.runs[0] != nullptr);
+    for (int start = 0; start < 300; ++start) {
+        recordStartDelay(state, *earlier.runs[0], at(400));
+    }
+    addShape(state, {"job", 0, 1, 2, 1000, false, 0, 2, termsOf(10)});
+    const placement_outcome first = placeWaiting(state, {1, 1}, at(500));
+    REQUIRE(first.adviceRequests.size() == 1);
+    applyAdvice(state, first.adviceRequests.front(), {{{worker_id("a"), advice_ticket("t")}}}, at(500).uptime);
+    // The ticket is valid until 2000 ms; a start at 1300 ms would reach the worker at about 1700 ms, but with up to
+    // twice the mean delay at 2100 ms.
+    CHECK(placeWaiting(state, {1, 1}, at(1300)).placed.empty());
+    CHECK(placeWaiting(state, noAdvice, at(1200)).placed.size() == 1);
+}
+
 TEST_CASE("the requests of several jobs spread over all workers of a cell")
 {
     // Regression: every job asked about the first 100 workers by id, so that the others stayed idle.
