Spread advice requests over the daemons and avoid those that fail

Cause 1: of daemons with the same backlog the first one by name got the request, so that all requests sent one after the other went to one daemon. Cause 2: a daemon whose call to the advisor fails at once has no backlog left and got the next request as well, again and again, while it could not answer any. A daemon that alone has lost its way to the advisor held up all jobs.

Ruled out: the backlog estimate with several requests at one daemon. The time limit of a request counts those before it, and the age of its tickets errs towards an earlier expiry.

Change: ties go to the first free daemon from one on that differs from request to request. The leader itself comes last while another daemon is free. A daemon whose call failed gets no request for 200 ms.

--- a/packages/term/advice_dispatch.cpp
+++ b/packages/term/advice_dispatch.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds responseGrace{500};
 /// Time for which a daemon that did not respond gets no requests.
 constexpr milliseconds proxyPause{3000};
+/// Time for which a daemon whose call to the advisor failed gets no requests. It has no backlog left, so that it would
+/// get the next request each time. Short, because the call may have failed for reasons of the advisor.
+constexpr milliseconds failurePause{200};
 /// Pause before the next request for a step after a failed one.
 constexpr milliseconds adviceRetryPause{100};
 /// A daemon with a smaller backlog than this gets the next request, so that the advisor is not idle in between.
@@ -33,15 +36,30 @@
     return adviceTime(*job->second->accepted.policy.advice, request.workers.size()).count();
 }
 
-/// The usable daemon with the smallest backlog, or the end if there is none.
-std::map<daemon_id, advice_proxy>::iterator chooseProxy(cell_leader &leader, time_point uptime)
+/// Backlog by which daemons are compared. The leader gets a request only while all others have one in progress, because
+/// it makes the calls to all workers as well.
+double comparedBacklog(const advice_proxy &proxy)
+{
+    return proxy.backlogMs + (proxy.at.value.empty() ? shortBacklogMs : 0);
+}
+
+/// The usable daemon with the smallest backlog, or the end if there is none. Of several with the same backlog it takes
+/// the first one from the daemon `first` on, so that requests one after the other spread over all daemons.
+std::map<daemon_id, advice_proxy>::iterator chooseProxy(cell_leader &leader, std::size_t first, time_point uptime)
 {
     auto best = leader.proxies.end();
-    for (auto next = leader.proxies.begin(); next != leader.proxies.end(); ++next) {
+    if (leader.proxies.empty()) {
+        return best;
+    }
+    auto next = std::next(leader.proxies.begin(), static_cast<std::ptrdiff_t>(first % leader.proxies.size()));
+    for (std::size_t visited = 0; visited < leader.proxies.size(); ++visited, ++next) {
+        if (next == leader.proxies.end()) {
+            next = leader.proxies.begin();
+        }
         if (uptime < next->second.avoidedUntil) {
             continue;
         }
-        if (best == leader.proxies.end() || next->second.backlogMs < best->second.backlogMs) {
+        if (best == leader.proxies.end() || comparedBacklog(next->second) < comparedBacklog(best->second)) {
             best = next;
         }
     }
@@ -57,6 +75,16 @@
     leader.adviceRequests.erase(entry);
 }
 
+/// Sends no requests through a daemon until the given time. The leader itself remains usable, since the requests would
+/// have no way left if it is the only daemon.
+void avoidProxy(cell_leader &leader, const daemon_id &name, time_point until)
+{
+    const auto proxy = leader.proxies.find(name);
+    if (proxy != leader.proxies.end() && !proxy->second.at.value.empty()) {
+        proxy->second.avoidedUntil = std::max(proxy->second.avoidedUntil, until);
+    }
+}
+
 } // namespace
 
 advice_capacity adviceCapacity(const cell_leader &leader, const clock_reading &now)
@@ -80,7 +108,7 @@
 
 void requestAdvice(const std::shared_ptr<cell_leader> &leader, advice_request request, const clock_reading &now)
 {
-    const auto proxy = chooseProxy(*leader, now.uptime);
+    const auto proxy = chooseProxy(*leader, leader->context.correlationCount, now.uptime);
     if (proxy == leader->proxies.end()) {
         onAdviceFailed(leader->state, request, now.uptime + adviceRetryPause);
         return;
@@ -122,6 +150,7 @@
     recordTime(*leader.context.counters, cell_metrics::adviceTime, now.uptime - open.sentAt);
     if (!response) {
         addCount(*leader.context.counters, cell_metrics::adviceFailed);
+        avoidProxy(leader, open.proxy, now.uptime + failurePause);
         log_event("advice_failed", log_level::Warning)
             .with("job", open.request.step.job)
             .with("step", open.request.step.step)
@@ -151,10 +180,7 @@
             continue;
         }
         const open_advice_request open = entry->second;
-        const auto proxy = leader.proxies.find(open.proxy);
-        if (proxy != leader.proxies.end() && !proxy->second.at.value.empty()) {
-            proxy->second.avoidedUntil = now.uptime + proxyPause;
-        }
+        avoidProxy(leader, open.proxy, now.uptime + proxyPause);
         addCount(*leader.context.counters, cell_metrics::adviceOverdue);
         log_event("advice_overdue", log_level::Warning)
             .with("job", open.request.step.job)
