Remove the progress of finished jobs as fast as jobs finish

Cause: after each listing of the jobs, once in 10 s, the progress of at most 20 finished jobs was removed. 2 a second is fewer than finish today (about 26) and on the grown sites (about 145), so that the store filled up without bound and each takeover read all of it. A removal whose reply was lost was not repeated before the next term.

A job leaves the list of finished jobs once its removal was applied.

--- a/packages/term/cell_recovery.cpp
+++ b/packages/term/cell_recovery.cpp
@@ -6,6 +6,8 @@
 #include "term/run_lifecycle.h"
 #include "term/worker_sessions.h"
 
+#include <algorithm>
+
 namespace sesamespar {
 
 namespace {
@@ -15,8 +17,11 @@
 constexpr milliseconds retryPause{100};
 /// Time for which changes of jobs are collected, so that a burst of arrivals costs one call.
 constexpr milliseconds jobWatchPause{25};
-/// Maximum number of finished jobs whose progress is removed in one transaction.
-constexpr std::size_t sweepBatch = 20;
+/// Maximum number of finished jobs whose progress is removed in one transaction, which may have 32 entries.
+constexpr std::size_t sweepBatch = 30;
+/// Maximum number of finished jobs that are removed after one listing of the jobs, one transaction after the other.
+/// With listings each 10 s these are 300 a second, twice the jobs that a cell of 350 workers finishes.
+constexpr std::size_t maxSwept = 3000;
 
 /// Restores a run of an earlier term on its worker.
 void restoreRun(cell_leader &leader, cell_job &job, task_position position, const clock_reading &now)
@@ -112,27 +117,59 @@
     addStoredJob(*leader, std::move(accepted.value()), item.revision, now);
 }
 
-/// Removes the progress of jobs that ended more than twice the retention time ago.
-void sweepFinished(const std::shared_ptr<cell_leader> &leader, const clock_reading &now)
+/// Finished jobs whose progress is to be removed.
+using expired_jobs = std::vector<job_key>;
+
+/// Jobs that ended more than twice the retention time ago, at most maxSwept.
+expired_jobs findExpired(const cell_leader &leader, const clock_reading &now)
 {
-    store_transaction transaction;
-    transaction.conditions.push_back({cell_keys::term, store_revision(leader->fence.value)});
-    const std::int64_t oldest = now.utc.value - 2 * milliseconds(leader->context.settings.limits.keepFinished).count();
-    for (const auto &[key, entry] : leader->finished) {
-        if (entry.ended.value < oldest && transaction.removals.size() < sweepBatch) {
-            transaction.removals.push_back(cell_keys::progress(key));
+    const std::int64_t oldest = now.utc.value - 2 * milliseconds(leader.context.settings.limits.keepFinished).count();
+    expired_jobs expired;
+    for (const auto &[key, entry] : leader.finished) {
+        if (entry.ended.value < oldest && expired.size() < maxSwept) {
+            expired.push_back(key);
         }
     }
-    if (transaction.removals.empty()) {
+    return expired;
+}
+
+/// Removes the progress of the jobs from the one at `first` on. After a failed transaction the rest is left to the next
+/// sweep, which finds it among the finished jobs again.
+void removeProgress(const std::shared_ptr<cell_leader> &leader,
+                    const std::shared_ptr<const expired_jobs> &expired,
+                    std::size_t first)
+{
+    const std::size_t end = std::min(first + sweepBatch, expired->size());
+    if (first == end) {
+        log_event("finished_jobs_removed").with("jobs", expired->size());
         return;
     }
-    for (const std::string &key : transaction.removals) {
-        leader->finished.erase(job_key(key.substr(cell_keys::progressPrefix.size())));
+    store_transaction transaction;
+    transaction.conditions.push_back({cell_keys::term, store_revision(leader->fence.value)});
+    for (std::size_t index = first; index < end; ++index) {
+        transaction.removals.push_back(cell_keys::progress((*expired)[index]));
     }
     leader->context.store.commit(
-        transaction, listLimit, [removed = transaction.removals.size()](result<store_commit> commit) {
-            log_event("finished_jobs_removed").with("jobs", removed).with("applied", commit && commit.value().applied);
-        });
+        transaction,
+        listLimit,
+        onControlThread(leader->context.box,
+                        [leader, expired, first, end](const result<store_commit> &commit, const clock_reading &) {
+                            if (leader->ended || !commit || !commit.value().applied) {
+                                return;
+                            }
+                            for (std::size_t index = first; index < end; ++index) {
+                                leader->finished.erase((*expired)[index]);
+                            }
+                            removeProgress(leader, expired, end);
+                        }));
+}
+
+void sweepFinished(const std::shared_ptr<cell_leader> &leader, const clock_reading &now)
+{
+    const auto expired = std::make_shared<const expired_jobs>(findExpired(*leader, now));
+    if (!expired->empty()) {
+        removeProgress(leader, expired, 0);
+    }
 }
 
 void finishRecovery(const std::shared_ptr<cell_leader> &leader, const clock_reading &now)
--- /dev/null
+++ b/test/correctness/finished_jobs.cpp
@@ -0,0 +1,61 @@
+// The progress of finished jobs is removed after its retention. Guards against a store that fills up, and whose reading
+// delays each takeover more, because fewer jobs are removed than finish.
+#include "../fixtures/cell_simulation.h"
+#include "connection/cell_keys.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sesamespar;
+using namespace sesamespar::fixture;
+
+namespace {
+
+constexpr std::uint64_t jobs = 240;
+
+std::size_t countProgress(const simulated_cell &cell)
+{
+    std::size_t count = 0;
+    for (const auto &[key, item] : cell.items) {
+        count += key.starts_with(cell_keys::progressPrefix) ? 1 : 0;
+    }
+    return count;
+}
+
+/// Runs many short jobs in a cell that keeps finished jobs for one second.
+void finishJobs(simulated_cell &cell)
+{
+    for (const auto &entry : cell.daemons) {
+        entry->context->settings.limits.keepFinished = std::chrono::seconds(1);
+    }
+    runFor(cell, 2000);
+    for (std::uint64_t number = 1; number <= jobs; ++number) {
+        submitJob(cell, number % cell.daemons.size(), makeJobKey(number), makeOneStepJob(1, 1, "50"));
+        runFor(cell, 10);
+    }
+    REQUIRE(runUntil(cell, 4000, [&] { return countProgress(cell) == jobs; }));
+    runFor(cell, 200);
+}
+
+/// Time after which every finished job was past its retention at a listing of the jobs: twice the retention, and the
+/// period of the listings.
+constexpr std::int64_t sweepTime = 14000;
+
+} // namespace
+
+TEST_CASE("finished jobs are removed as fast as they finish")
+{
+    simulated_cell cell({});
+    finishJobs(cell);
+    CHECK(runUntil(cell, sweepTime, [&] { return countProgress(cell) == 0; }));
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("finished jobs whose removal got no reply are removed later")
+{
+    simulated_cell cell({});
+    finishJobs(cell);
+    cell.lostStoreReplyRate = 1;
+    runFor(cell, sweepTime);
+    cell.lostStoreReplyRate = 0;
+    CHECK(runUntil(cell, 2 * sweepTime, [&] { return countProgress(cell) == 0; }));
+}
