Do not withdraw a run that has begun when its repeated start is refused

Callers saw a task run twice: a booking made two times.

Cause: a start without a reply within 400 ms is repeated. A report that lists the run, handled between the two replies, cleared the mark that an order may have taken effect. If the worker then refused the repeated start, because the run had ended there or its ticket had expired, the leader took this as proof that nothing had started, withdrew the run and placed the task again. The end that the next report listed was acknowledged and ignored. The leader has to handle events hundreds of milliseconds late for this, so that only crowded cells show it. An unanswered repeated start also stopped a run that a report had listed.

Ruled out, by reading: calls classified as not sent (the connection was never written to); the end of a run that a report does not list, whose poll is sent after the reply to its last order was handled; leases, whose ends are absolute times of the worker's clock.

Change: a run remembers that a reply or a report has shown it to have begun; later replies to its starts change nothing. A refusal as outdated never proves that the run did not start; it is settled by a stop and a report.

--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -47,6 +47,7 @@
     std::uint64_t recordedIn = 0; ///< Number of the change of the job that records this placement.
     bool sent = false; ///< A start was sent, by this term or an earlier one.
     bool startUnknown = false; ///< A start got no reply and may still take effect.
+    bool begun = false; ///< A reply or a report has shown that the worker has begun the run.
     unsigned openOrders = 0; ///< Calls about this run that are in progress.
     bool stopAccepted = false; ///< The worker has accepted a stop, so the run can no longer begin.
     time_point placedAt; ///< In uptime.
--- a/packages/term/worker_reports.cpp
+++ b/packages/term/worker_reports.cpp
@@ -103,6 +103,7 @@
         }
         run.checkpoint = row.checkpoint.empty() ? run.checkpoint : row.checkpoint;
         run.startUnknown = false;
+        run.begun = true;
         markBegun(state, *run.job, now);
         run.state = run.state == run_state::Starting ? run_state::Running : run.state;
         table.erase(found);
--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -263,9 +263,6 @@
         .with("reason", names[static_cast<std::size_t>(refusal)])
         .with("placed_ms_ago", std::chrono::duration_cast<milliseconds>(now.uptime - run.placedAt).count());
     addCount(*leader->context.counters, cell_metrics::startsRefused);
-    if (stepDownIfFenced(*leader, refusal)) {
-        return;
-    }
     if (refusal == order_refusal::NoTicket) {
         expireTicket(run.job->steps[stepOf(*run.job, run.position)].advice, run.worker->slot);
     } else {
@@ -292,6 +289,10 @@
             .with("run", name.run)
             .with("worker", run->worker->id)
             .with("problem", reply.error().message);
+        if (run->begun) {
+            // A report has listed the run meanwhile, so the repeated start has no effect.
+            return;
+        }
         if (reply.error().kind == error_kind::Unreachable || reply.error().kind == error_kind::Overloaded) {
             if (!run->startUnknown) {
                 withdrawRun(leader->state, *run, now);
@@ -310,8 +311,17 @@
         return;
     }
     if (reply.value().refusal != order_refusal::None) {
-        if (run->startUnknown) {
-            // The first order may still take effect, so the run stays until a stop is acknowledged.
+        if (stepDownIfFenced(*leader, reply.value().refusal)) {
+            return;
+        }
+        if (run->begun) {
+            // A repeated start is refused if the run has ended meanwhile or its ticket has expired; the end is
+            // reported.
+            return;
+        }
+        if (run->startUnknown || reply.value().refusal == order_refusal::Outdated) {
+            // An earlier order may still take effect or has taken effect, so the run stays until a stop is acknowledged
+            // and a report shows how it ended.
             requestStop(leader->state, *run);
             return;
         }
@@ -319,6 +329,7 @@
         return;
     }
     run->startUnknown = false;
+    run->begun = true;
     markBegun(leader->state, *run->job, now);
     run->orderedAt = now.uptime;
     if (run->state == run_state::Starting) {
--- a/test/error/cell_failures.cpp
+++ b/test/error/cell_failures.cpp
@@ -491,6 +491,32 @@
     CHECK(cell.violations.empty());
 }
 
+TEST_CASE("a repeated start that is refused does not start a task again that has begun")
+{
+    // The first start has no reply. A leader that handles events late learns from a report that the run has begun, and
+    // before it learns of the end, the worker refuses the repeated start because the run has ended.
+    simulated_cell cell({});
+    runFor(cell, 2000);
+    constexpr std::int64_t period = 450;
+    constexpr std::int64_t delay = 350;
+    cell.daemons[*leaderOf(cell)]->handlingPeriod = period;
+    for (const auto &worker : cell.workers) {
+        worker->replyDelay = delay;
+    }
+    cell.lostOrderReplyRate = 0.5;
+    constexpr std::uint64_t jobs = 200;
+    for (std::uint64_t number = 1; number <= jobs; ++number) {
+        submitJob(cell, 1, makeJobKey(number), makeOneStepJob(1, 1, "300"));
+        runFor(cell, 70);
+    }
+    cell.lostOrderReplyRate = 0;
+    runFor(cell, 10000);
+    for (std::uint64_t number = 1; number <= jobs; ++number) {
+        CHECK(isCompleted(cell, number));
+    }
+    CHECK(cell.violations.empty());
+}
+
 TEST_CASE("a daemon that alone has lost the store relays its callers' jobs to another daemon")
 {
     // Callers with open connections to such a daemon were once refused until it reached the store again, for 9 s.
