Stop the whole gang when the start of a member gets no reply

A member of a gang waited alone for gangTimeoutMs while the leader was busy stopping another one.

Cause: a member whose repeated start had no reply either was marked to be stopped by itself. The others were stopped only after that member had provably ended, which takes a stop, its reply, a poll and its report: four more rounds of events, each late by as much as the leader is. With an unreachable worker the others waited out the whole limit on an idle leader, too.

Change: giving up a start marks all members to be stopped at once. No work is lost by it, since the gang cannot run without the member.

--- a/packages/term/run_lifecycle.cpp
+++ b/packages/term/run_lifecycle.cpp
@@ -282,6 +282,15 @@
     state.stopsRequested = true;
 }
 
+void abandonStart(cell_state &state, placed_run &run)
+{
+    requestStop(state, run);
+    const std::uint32_t step = stepOf(*run.job, run.position);
+    if (run.job->accepted.job.steps[step].gang) {
+        stopRemainingRuns(state, *run.job, run.job->steps[step]);
+    }
+}
+
 void removeIfFinished(cell_state &state, cell_job &job)
 {
     if (!isFinal(job.progress.phase) || job.storedChanges < job.changes) {
--- a/packages/term/run_lifecycle.h
+++ b/packages/term/run_lifecycle.h
@@ -41,6 +41,10 @@
 /// Marks a run to be stopped. The stop is sent by sendStops of worker_sessions.h.
 void requestStop(cell_state &state, placed_run &run);
 
+/// Gives up the start of a run: marks it to be stopped, and the other members of its gang, which would wait for it in
+/// vain until their time limit.
+void abandonStart(cell_state &state, placed_run &run);
+
 /// Removes a job from the state if it is final, stored, and has no runs.
 void removeIfFinished(cell_state &state, cell_job &job);
 
--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -306,7 +306,7 @@
         if (firstLoss && run->state == run_state::Starting) {
             sendStart(leader, *run, now);
         } else {
-            requestStop(leader->state, *run);
+            abandonStart(leader->state, *run);
         }
         return;
     }
@@ -322,7 +322,7 @@
         if (run->startUnknown || reply.value().refusal == order_refusal::Outdated) {
             // An earlier order may still take effect or has taken effect, so the run stays until a stop is acknowledged
             // and a report shows how it ended.
-            requestStop(leader->state, *run);
+            abandonStart(leader->state, *run);
             return;
         }
         handleRefusedStart(leader, *run, reply.value().refusal, now);
@@ -415,7 +415,7 @@
         // An earlier order without a reply may still take effect, so the run stays until a stop is acknowledged or the
         // lease expires.
         if (run.startUnknown) {
-            requestStop(leader->state, run);
+            abandonStart(leader->state, run);
         } else {
             withdrawRun(leader->state, run, now);
         }
--- a/test/error/cell_failures.cpp
+++ b/test/error/cell_failures.cpp
@@ -517,6 +517,21 @@
     CHECK(cell.violations.empty());
 }
 
+TEST_CASE("the members of a gang do not wait for one whose start gets no reply")
+{
+    // The others were stopped only after that member had ended, and so waited until their time limit.
+    simulated_cell cell({});
+    runFor(cell, 2000);
+    cell.workers[0]->ordersArrive = false;
+    submitJob(cell, 0, makeJobKey(1), makeOneStepJob(16, 4, "500", true));
+    runFor(cell, 4500);
+    CHECK(cell.jobs[makeJobKey(1)].starts == 12);
+    CHECK(cell.aloneEnds == 0);
+    cell.workers[0]->ordersArrive = true;
+    CHECK(runUntil(cell, 8000, [&] { return isCompleted(cell, 1); }));
+    CHECK(cell.violations.empty());
+}
+
 TEST_CASE("a daemon that alone has lost the store relays its callers' jobs to another daemon")
 {
     // Callers with open connections to such a daemon were once refused until it reached the store again, for 9 s.
