Play cells with late daemons in cell_model

Random faults now include a leader that handles events late, lost replies of orders and late replies of workers.

--- a/test/fuzz/cell_model.cpp
+++ b/test/fuzz/cell_model.cpp
@@ -50,7 +50,7 @@
     const std::size_t leader = leaderOf(cell).value_or(daemon);
     const auto worker =
         static_cast<std::size_t>(randomInt(cell, 0, static_cast<std::int64_t>(cell.workers.size()) - 1));
-    switch (randomInt(cell, 0, 16)) {
+    switch (randomInt(cell, 0, 19)) {
     case 0:
         replaceDaemon(cell, leader);
         break;
@@ -107,6 +107,15 @@
             cell.isolatedDataCentre = static_cast<std::size_t>(randomInt(cell, 0, 2));
         }
         break;
+    case 16:
+        cell.daemons[leader]->handlingPeriod = cell.daemons[leader]->handlingPeriod > 0 ? 0 : randomInt(cell, 50, 900);
+        break;
+    case 17:
+        cell.lostOrderReplyRate = randomInt(cell, 0, 1) == 0 ? 0 : 0.3;
+        break;
+    case 18:
+        cell.workers[worker]->replyDelay = cell.workers[worker]->replyDelay > 0 ? 0 : randomInt(cell, 50, 900);
+        break;
     default:
         post(cell.daemons[daemon]->context->box,
              [&cell, daemon](const clock_reading &now) { drainCellDaemon(*cell.daemons[daemon]->daemon, now); });
@@ -121,16 +130,19 @@
     cell.lostStoreReplyRate = 0;
     cell.lateStoreWriteRate = 0;
     cell.lateOrderRate = 0;
+    cell.lostOrderReplyRate = 0;
     cell.isolatedDataCentre.reset();
     for (std::size_t number = 0; number < cell.workers.size(); ++number) {
         cell.workers[number]->reachable = true;
         cell.workers[number]->repliesArrive = true;
+        cell.workers[number]->replyDelay = 0;
         cell.workers[number]->draining = false;
         publishWorker(cell, number);
     }
     for (std::size_t number = 0; number < cell.daemons.size(); ++number) {
         cell.daemons[number]->storeUnreachable = false;
         cell.daemons[number]->workersUnreachable = false;
+        cell.daemons[number]->handlingPeriod = 0;
         thawDaemon(cell, number);
     }
 }
@@ -149,6 +161,30 @@
     return job;
 }
 
+/// Ends all faults and checks that every accepted job becomes final.
+void finishCase(simulated_cell &cell)
+{
+    clearFaults(cell);
+    const auto allFinal = [&] {
+        for (const auto &[key, job] : cell.jobs) {
+            const auto phase = storedPhase(cell, key);
+            if (job.acknowledged && (!phase || !isFinal(*phase))) {
+                return false;
+            }
+        }
+        return true;
+    };
+    if (!runUntil(cell, 90000, allFinal)) {
+        for (const auto &[key, job] : cell.jobs) {
+            const auto phase = storedPhase(cell, key);
+            if (job.acknowledged && (!phase || !isFinal(*phase))) {
+                cell.violations.push_back("an accepted job is not final: " + key.value);
+            }
+        }
+    }
+    runFor(cell, 13000);
+}
+
 /// Runs one case and returns the violated guarantees.
 std::vector<std::string> runCase(std::uint64_t seed)
 {
@@ -170,37 +206,49 @@
             injectFault(cell);
         }
     }
-    clearFaults(cell);
-    const auto allFinal = [&] {
-        for (const auto &[key, job] : cell.jobs) {
-            const auto phase = storedPhase(cell, key);
-            if (job.acknowledged && (!phase || !isFinal(*phase))) {
-                return false;
-            }
-        }
-        return true;
-    };
-    if (!runUntil(cell, 90000, allFinal)) {
-        for (const auto &[key, job] : cell.jobs) {
-            const auto phase = storedPhase(cell, key);
-            if (job.acknowledged && (!phase || !isFinal(*phase))) {
-                cell.violations.push_back("an accepted job is not final: " + key.value);
-            }
-        }
-    }
-    runFor(cell, 13000);
+    finishCase(cell);
     return cell.violations;
 }
 
-} // namespace
+/// Runs one case whose only fault is that all daemons handle their events late: the leader handles them once a period,
+/// and some replies of workers arrive late or not at all. Returns the violated guarantees.
+std::vector<std::string> runSlowCase(std::uint64_t seed)
+{
+    simulated_cell_settings settings;
+    settings.seed = seed;
+    settings.advised = seed % 2 == 0;
+    simulated_cell cell(settings);
+    runFor(cell, 1500);
+    const std::int64_t period = randomInt(cell, 50, 600);
+    cell.lostOrderReplyRate = static_cast<double>(randomInt(cell, 0, 2)) / 10;
+    for (const auto &daemon : cell.daemons) {
+        daemon->handlingPeriod = period;
+    }
+    for (const auto &worker : cell.workers) {
+        worker->replyDelay = randomInt(cell, 0, 1) == 0 ? 0 : randomInt(cell, 0, 500);
+    }
+    for (std::uint64_t number = 1; number <= 40; ++number) {
+        runFor(cell, randomInt(cell, 20, 400));
+        submitJob(cell, randomDaemon(cell), makeJobKey(number), makeJob(cell));
+    }
+    finishCase(cell);
+    if (cell.aloneEnds > 0) {
+        cell.violations.push_back("a member of a gang waited in vain for the others");
+    }
+    if (cell.startsWithoutTicket > 0) {
+        cell.violations.push_back("a start was sent with an expired ticket");
+    }
+    return cell.violations;
+}
 
-TEST_CASE("a cell keeps its guarantees under random faults")
+/// Runs the cases that RC_PARAMS selects.
+void checkCases(std::vector<std::string> (*run)(std::uint64_t seed))
 {
     const std::uint64_t first = parameter("seed", 1);
     const std::uint64_t cases = parameter("max_success", 60);
     for (std::uint64_t seed = first; seed < first + cases; ++seed) {
         INFO("seed " << seed);
-        const std::vector<std::string> violations = runCase(seed);
+        const std::vector<std::string> violations = run(seed);
         CAPTURE(violations);
         CHECK(violations.empty());
         if (!violations.empty()) {
@@ -208,3 +256,15 @@
         }
     }
 }
+
+} // namespace
+
+TEST_CASE("a cell keeps its guarantees under random faults")
+{
+    checkCases(runCase);
+}
+
+TEST_CASE("a cell whose daemons handle events late keeps its guarantees")
+{
+    checkCases(runSlowCase);
+}
