Renew the tickets of a gang together, and count a queue's requests as long or short

Callers saw: wide jobs (quotes, allocations) that waited behind gangs, and gangs that could wait for ever. Causes: a request was long by its own length, so that those of wide jobs with more than 20 to 40 workers waited for the daemons that the gangs may use, while daemons for short requests were idle. Only expired tickets of a gang were renewed; with requests that take over half of a ticket's validity, the tickets of its workers were never valid at the same time. A response to a request from before a restart of a worker answered for the request sent after it. Ruled out by replays: the shares for gathering gangs, the number of requests at once, the places per task. Change: a queue's requests are long by their fixed time; lists are not shortened below the length that doubles it; a renewal for a gang names all places whose ticket would expire before the response can be used; responses are bound to their request.

--- a/packages/connection/advice_port.h
+++ b/packages/connection/advice_port.h
@@ -26,6 +26,7 @@
 struct advice_request {
     job_step_id step;
     std::vector<worker_id> workers;
+    std::uint32_t number = 0; ///< Among the requests for the step; not sent to the advisor.
 };
 
 /// A worker that may run the step, with its ticket.
--- a/packages/term/advice_dispatch.cpp
+++ b/packages/term/advice_dispatch.cpp
@@ -26,14 +26,15 @@
 constexpr std::size_t longShareTenths = 6;
 constexpr std::size_t tenths = 10;
 
-/// Expected time of the advisor for the request, in milliseconds.
-double costOf(const cell_leader &leader, const advice_request &request)
+/// Adds what is known of the advisor's time for a request to its entry.
+void estimateTime(const cell_leader &leader, open_advice_request &open)
 {
-    const auto job = leader.state.jobs.find(request.step.job);
-    if (job == leader.state.jobs.end() || !job->second->accepted.policy.advice) {
-        return 0;
+    const auto job = leader.state.jobs.find(open.request.step.job);
+    if (job != leader.state.jobs.end() && job->second->accepted.policy.advice) {
+        const advice_timing &timing = *job->second->accepted.policy.advice;
+        open.costMs = adviceTime(timing, open.request.workers.size()).count();
+        open.isLong = takesLong(timing);
     }
-    return adviceTime(*job->second->accepted.policy.advice, request.workers.size()).count();
 }
 
 /// Backlog by which daemons are compared. The leader gets a request only while all others have one in progress, because
@@ -99,7 +100,7 @@
     }
     const auto longOpen = static_cast<std::size_t>(
         std::count_if(leader.adviceRequests.begin(), leader.adviceRequests.end(), [](const auto &entry) {
-            return entry.second.costMs > longAdvice.count();
+            return entry.second.isLong;
         }));
     const std::size_t longLimit = std::max<std::size_t>(1, usable * longShareTenths / tenths);
     capacity.freeForLong = std::min(capacity.free, longLimit - std::min(longLimit, longOpen));
@@ -114,7 +115,9 @@
         return;
     }
     const correlation_id correlation = newCorrelation(leader->context);
-    open_advice_request open{request, proxy->first, costOf(*leader, request), now.uptime, {}};
+    open_advice_request open{request, proxy->first};
+    open.sentAt = now.uptime;
+    estimateTime(*leader, open);
     proxy->second.backlogMs += open.costMs;
     const milliseconds limit = milliseconds(static_cast<std::int64_t>(proxy->second.backlogMs)) + responseGrace;
     open.dueAt = now.uptime + limit;
--- a/packages/term/advice_selection.cpp
+++ b/packages/term/advice_selection.cpp
@@ -17,7 +17,7 @@
 constexpr double potentialPerTask = 4;
 /// Part of the fixed time of a request by which a longer list of workers may extend it: a second request would cost all
 /// of the fixed time again.
-constexpr double cheapExtension = 0.2;
+constexpr double cheapExtension = 1;
 /// Lower bound of the expected share of suitable workers, so that a queue whose first requests found none goes on.
 constexpr double lowestShare = 0.05;
 
--- a/packages/term/cell_leader.h
+++ b/packages/term/cell_leader.h
@@ -34,6 +34,7 @@
     advice_request request;
     daemon_id proxy;
     double costMs = 0; ///< Expected time of the advisor.
+    bool isLong = false; ///< See takesLong of job_placement.h.
     time_point sentAt; ///< In uptime.
     time_point dueAt; ///< In uptime; the response is overdue afterwards.
 };
--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -21,6 +21,10 @@
 constexpr std::size_t advisedFitsPerTask = 2;
 /// Maximum number of requests in progress for one step. A gang of 60 large tasks needs about 350 workers assessed.
 constexpr unsigned maxOpenRequests = 4;
+/// Fixed time of the requests of a queue above which they are long. It takes 360 to 715 ms for gangs of large tasks and
+/// 8 to 156 ms for the other queues. A limit on the whole time counted requests of these as long once they named more
+/// than 20 to 40 workers, and they waited behind the gangs.
+constexpr std::chrono::duration<double, std::milli> longDecision{200};
 /// Pause before the unassessed workers of a step are looked at again, if none of them would have helped. Selecting
 /// takes about 10 us, and hundreds of steps may wait on a full cell.
 constexpr milliseconds selectionPause{100};
@@ -52,6 +56,7 @@
     cell_worker *worker = nullptr;
     std::int64_t fit = 0; ///< Number of tasks of the step that fit.
     ticket_state ticket = ticket_state::Valid;
+    time_point validUntil; ///< Of the ticket, in uptime.
     bool remote = false; ///< The step's data is in another rack.
     bool failedHere = false; ///< The latest run of a waiting task of the step failed on the worker.
 };
@@ -69,8 +74,8 @@
     return false;
 }
 
-/// Minimum remaining validity of a ticket for a placement. A leader that is slow to start runs leaves more; at most half
-/// of the validity, so that a new ticket can be used.
+/// Minimum remaining validity of a ticket for a placement. A leader that is slow to start runs leaves more; at most
+/// half of the validity, so that a new ticket can be used.
 milliseconds ticketMargin(const cell_state &state, milliseconds valid)
 {
     const milliseconds needed(static_cast<std::int64_t>(marginPerDelay * state.startDelayMs));
@@ -114,7 +119,7 @@
     if (!fits(declared.need, pass.free.largest)) {
         return candidates;
     }
-    const auto consider = [&](worker_slot slot, ticket_state ticket) {
+    const auto consider = [&](worker_slot slot, ticket_state ticket, time_point validUntil) {
         const resources &remaining = pass.free.remaining[slot.value];
         if (!contains(pass.free.usable, slot) || !fits(declared.need, remaining)) {
             return;
@@ -125,6 +130,7 @@
             candidates.push_back({&worker,
                                   fit,
                                   ticket,
+                                  validUntil,
                                   !declared.dataRack.empty() && worker.rack != declared.dataRack,
                                   pass.state.policy.failedTasksElsewhere && hasFailedOn(waiting, worker.id)});
         }
@@ -133,11 +139,11 @@
         const step_advice &advice = waiting.state().advice;
         const milliseconds margin = ticketMargin(pass.state, waiting.job->accepted.policy.advice->valid);
         for (const suitable_worker &entry : advice.suitable) {
-            consider(entry.worker, ticketOf(advice, entry, pass.now.uptime + margin));
+            consider(entry.worker, ticketOf(advice, entry, pass.now.uptime + margin), entry.validUntil);
         }
     } else {
         for (std::uint32_t slot = 0; slot < pass.state.slots.size(); ++slot) {
-            consider(worker_slot(slot), ticket_state::Valid);
+            consider(worker_slot(slot), ticket_state::Valid, {});
         }
     }
     std::sort(candidates.begin(), candidates.end(), [&pass](const candidate &left, const candidate &right) {
@@ -146,37 +152,35 @@
     return candidates;
 }
 
-/// True if a request for the step that names that many workers may be sent now.
-bool mayRequest(const placement_pass &pass, const waiting_step &waiting, std::size_t workers)
+/// True if a request for the step may be sent now.
+bool mayRequest(const placement_pass &pass, const waiting_step &waiting)
 {
     const step_advice &advice = waiting.state().advice;
     if (!waiting.job->accepted.policy.advice || advice.openRequests >= maxOpenRequests
         || pass.now.uptime < advice.nextRequestAt) {
         return false;
     }
-    const bool isLong = adviceTime(*waiting.job->accepted.policy.advice, workers) > longAdvice;
+    const bool isLong = takesLong(*waiting.job->accepted.policy.advice);
     return (isLong ? pass.capacity.freeForLong : pass.capacity.free) > 0;
 }
 
 /// Adds an advice request if the advisor can accept it. Returns false otherwise.
 bool addAdviceRequest(placement_pass &pass, const waiting_step &waiting, const std::vector<worker_slot> &workers)
 {
-    const advice_timing &timing = *waiting.job->accepted.policy.advice;
-    if (workers.empty() || !mayRequest(pass, waiting, workers.size())) {
+    if (workers.empty() || !mayRequest(pass, waiting)) {
         return false;
     }
     --pass.capacity.free;
-    if (adviceTime(timing, workers.size()) > longAdvice) {
+    if (takesLong(*waiting.job->accepted.policy.advice)) {
         --pass.capacity.freeForLong;
     }
     pass.capacity.freeForLong = std::min(pass.capacity.freeForLong, pass.capacity.free);
     step_advice &advice = waiting.state().advice;
     advice_request request{{waiting.job->accepted.key, waiting.step}, {}};
+    request.number = beginRequest(advice, workers);
     for (const worker_slot worker : workers) {
-        insert(advice.requested, worker);
         request.workers.push_back(pass.state.slots[worker.value]->id);
     }
-    ++advice.openRequests;
     pass.outcome.adviceRequests.push_back(std::move(request));
     return true;
 }
@@ -186,14 +190,11 @@
 void requestUnknownSuitability(placement_pass &pass, const waiting_step &waiting, std::size_t missing)
 {
     step_advice &advice = waiting.state().advice;
-    while (pass.now.uptime >= advice.nextSelectionAt && mayRequest(pass, waiting, advice.wantedWorkers)) {
+    while (pass.now.uptime >= advice.nextSelectionAt && mayRequest(pass, waiting)) {
         const std::vector<worker_slot> workers = selectUnassessed(pass.state, pass.free, waiting, missing);
-        if (workers.empty()) {
+        if (!addAdviceRequest(pass, waiting, workers)) {
             advice.nextSelectionAt = pass.now.uptime + selectionPause;
-            advice.wantedWorkers = 1;
-            return;
         }
-        advice.wantedWorkers = addAdviceRequest(pass, waiting, workers) ? 1 : workers.size();
     }
 }
 
@@ -217,21 +218,30 @@
     }
 }
 
-/// Requests new tickets for the workers whose ticket has expired, from the front of the candidates until `wanted` tasks
-/// fit on them.
+/// Requests new tickets for workers from the front of the candidates until `wanted` tasks fit on them. For a gang,
+/// tickets that would expire before the response can be used are renewed as well, since all members need valid tickets
+/// at the same time.
 void requestTickets(placement_pass &pass,
                     const waiting_step &waiting,
                     const std::vector<candidate> &candidates,
                     std::size_t wanted)
 {
+    const advice_timing &timing = *waiting.job->accepted.policy.advice;
+    const auto last = std::find_if(
+        candidates.begin(), candidates.end(), [fit = std::int64_t{0}, wanted](const candidate &choice) mutable {
+            const bool enough = fit >= static_cast<std::int64_t>(wanted);
+            fit += choice.fit;
+            return enough;
+        });
+    const auto count = std::min(static_cast<std::size_t>(last - candidates.begin()), maxAdviceWorkers);
+    const auto responseTime = std::chrono::duration_cast<milliseconds>(adviceTime(timing, count));
+    const time_point neededUntil = pass.now.uptime + responseTime + ticketMargin(pass.state, timing.valid);
     std::vector<worker_slot> workers;
-    std::int64_t fit = 0;
-    for (const candidate &choice : candidates) {
-        if (workers.size() == maxAdviceWorkers || fit >= static_cast<std::int64_t>(wanted)) {
-            break;
-        }
-        fit += choice.fit;
-        if (choice.ticket == ticket_state::Expired) {
+    for (std::size_t index = 0; index < count; ++index) {
+        const candidate &choice = candidates[index];
+        const bool expires =
+            choice.ticket == ticket_state::Expired || (waiting.declared().gang && choice.validUntil < neededUntil);
+        if (expires && !contains(waiting.state().advice.requested, choice.worker->slot)) {
             workers.push_back(choice.worker->slot);
         }
     }
@@ -333,7 +343,11 @@
         placeTasks(pass, waiting, tasks, places);
         return;
     }
-    requestTickets(pass, waiting, candidates, tasks.size());
+    if (std::any_of(places.begin(), places.end(), [](const candidate &place) {
+            return place.ticket == ticket_state::Expired;
+        })) {
+        requestTickets(pass, waiting, candidates, tasks.size());
+    }
     if (waiting.state().advice.openRequests > 0) {
         deductCapacity(pass, places, declared.need);
     }
@@ -360,6 +374,11 @@
 
 } // namespace
 
+bool takesLong(const advice_timing &timing)
+{
+    return timing.decide > longDecision;
+}
+
 placement_outcome placeWaiting(cell_state &state, advice_capacity capacity, const clock_reading &now)
 {
     placement_pass pass{state, now, measureFree(state, now.uptime), capacity, {}};
@@ -391,8 +410,7 @@
     double suitable = 0;
     for (const worker_id &id : request.workers) {
         const auto worker = state.workers.find(id);
-        // A worker that has restarted since the request is no longer in the set.
-        if (worker == state.workers.end() || !contains(advice.requested, worker->second->slot)) {
+        if (worker == state.workers.end() || !endRequest(advice, worker->second->slot, request.number)) {
             continue;
         }
         const worker_slot slot = worker->second->slot;
@@ -423,7 +441,7 @@
     advice.nextRequestAt = nextAdviceAt;
     for (const worker_id &id : request.workers) {
         if (const auto worker = state.workers.find(id); worker != state.workers.end()) {
-            erase(advice.requested, worker->second->slot);
+            endRequest(advice, worker->second->slot, request.number);
         }
     }
 }
--- a/packages/term/job_placement.h
+++ b/packages/term/job_placement.h
@@ -12,9 +12,9 @@
     std::size_t freeForLong = 0; ///< How many of these may send a long request.
 };
 
-/// Duration above which a request is long. Requests of the quick queues take 10 to 100 ms, those for gangs of large
-/// tasks 550 ms and more.
-constexpr std::chrono::duration<double, std::milli> longAdvice{200};
+/// True if the requests of a queue are long, whatever number of workers they name. Long requests may use a part of the
+/// advisor's machines only, so that they delay no short ones.
+bool takesLong(const advice_timing &timing);
 
 /// Actions that result from a placement pass.
 struct placement_outcome {
--- a/packages/term/step_advice.cpp
+++ b/packages/term/step_advice.cpp
@@ -61,6 +61,27 @@
     }
 }
 
+std::uint32_t beginRequest(step_advice &advice, const std::vector<worker_slot> &workers)
+{
+    ++advice.openRequests;
+    ++advice.requestCount;
+    for (const worker_slot worker : workers) {
+        insert(advice.requested, worker);
+        advice.requestNumbers.resize(advice.requested.size());
+        advice.requestNumbers[worker.value] = advice.requestCount;
+    }
+    return advice.requestCount;
+}
+
+bool endRequest(step_advice &advice, worker_slot worker, std::uint32_t number)
+{
+    if (!contains(advice.requested, worker) || advice.requestNumbers[worker.value] != number) {
+        return false;
+    }
+    erase(advice.requested, worker);
+    return true;
+}
+
 void forgetWorker(step_advice &advice, worker_slot worker)
 {
     erase(advice.assessed, worker);
--- a/packages/term/step_advice.h
+++ b/packages/term/step_advice.h
@@ -34,10 +34,11 @@
     std::vector<suitable_worker> suitable;
     worker_set assessed; ///< Workers whose suitability is known.
     worker_set requested; ///< Workers that are named in requests in progress.
+    std::vector<std::uint32_t> requestNumbers; ///< By slot, the number of the latest request that named the worker.
+    std::uint32_t requestCount = 0; ///< Requests so far.
     unsigned openRequests = 0;
     time_point nextRequestAt; ///< In uptime; no request before.
     time_point nextSelectionAt; ///< In uptime; before, no unassessed worker would help.
-    std::size_t wantedWorkers = 1; ///< Length of the next request, as far as it is known.
 };
 
 /// Returns the entry of a worker, or null if the worker is not known to be suitable.
@@ -49,6 +50,13 @@
 /// Marks the ticket for a worker as expired.
 void expireTicket(step_advice &advice, worker_slot worker);
 
+/// Begins a request that names the workers, and returns its number.
+std::uint32_t beginRequest(step_advice &advice, const std::vector<worker_slot> &workers);
+
+/// Ends the part of a request that concerns a worker. Returns false if the request no longer counts for the worker,
+/// because the worker has restarted since or another worker has its slot.
+bool endRequest(step_advice &advice, worker_slot worker, std::uint32_t number);
+
 /// Discards all that is known of a worker. A response to a request in progress no longer counts for it.
 void forgetWorker(step_advice &advice, worker_slot worker);
 
--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -448,6 +448,9 @@
     cell_worker &worker = *run.worker;
     const cell_job &job = *run.job;
     const cell_step &step = job.steps[stepOf(job, run.position)];
+    if (!run.sent) {
+        recordStartDelay(leader->state, run, now);
+    }
     if (lacksTicket(run, now)) {
         log_event("ticket_expired", log_level::Warning)
             .with("job", job.accepted.key)
@@ -471,9 +474,6 @@
         revokeStart(*leader, run, now);
         return;
     }
-    if (!run.sent) {
-        recordStartDelay(leader->state, run, now);
-    }
     run.sent = true;
     run.state = run_state::Starting;
     ++run.openOrders;
--- a/test/performance/cell_replay.cpp
+++ b/test/performance/cell_replay.cpp
@@ -362,8 +362,9 @@
     for (advice_request &request : outcome.adviceRequests) {
         const replay_job &job = *world.byKey.at(request.step.job);
         const auto took = adviceTime(*job.accepted.policy.advice, request.workers.size());
-        world.adviceRequests.push_back(
-            {std::move(request), world.nowMs + static_cast<std::int64_t>(took.count()) + 2, took > longAdvice});
+        world.adviceRequests.push_back({std::move(request),
+                                        world.nowMs + static_cast<std::int64_t>(took.count()) + 2,
+                                        takesLong(*job.accepted.policy.advice)});
     }
 }
 
