Look up only workers with unstored ends after a transaction

Cause: after each of about a hundred transactions a second the ends of all 350 workers were looked up by the worker's name; 1.8% of the leader's samples.

Change: workers without unstored ends are skipped without a look-up.

Ruled out: one traffic thread in place of two. Ruled out: continuations of the HTTP client on the thread that completes their task: 102 to 130 us a call in place of 100 to 120.

--- a/packages/term/progress_writer.cpp
+++ b/packages/term/progress_writer.cpp
@@ -120,8 +120,12 @@
         startRecordedRuns(leader, job, now);
         removeIfFinished(leader->state, job);
     }
-    for (const auto &[id, worker] : leader->state.workers) {
-        advanceSeenEnds(leader->state, *worker);
+    // A transaction is applied a hundred times a second, so workers without unstored ends are not looked up.
+    for (const auto &[id, ends] : leader->state.ends) {
+        const auto worker = ends.empty() ? leader->state.workers.end() : leader->state.workers.find(id);
+        if (worker != leader->state.workers.end()) {
+            advanceSeenEnds(leader->state, *worker->second);
+        }
     }
 }
 
