Let daemons that have lost the store relay to different daemons

Cause: each daemon that has lost the store probed the others from the same end and relayed its callers' jobs to the first that answered. On a site of 36 daemons a third may lose the store at once; one daemon, which may have 0.12 of a core, then stored the jobs of all of them.

Change: the first probed daemon depends on the name of the probing one.

Result: test/error/relay_peers.cpp failed before (6 of 16 daemons relayed to the same one) and passes. cell_failures and 60 cases of cell_model pass.

--- a/packages/process/job_relay.h
+++ b/packages/process/job_relay.h
@@ -6,6 +6,7 @@
 #include "connection/cell_context.h"
 #include "request/accepted_job.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -24,12 +25,15 @@
 struct job_relay : std::enable_shared_from_this<job_relay> {
     explicit job_relay(cell_context &cellContext)
         : context(cellContext)
+        , lastProbed(std::hash<daemon_id>()(cellContext.settings.name))
     {
     }
 
     cell_context &context;
     std::map<correlation_id, open_relay> open;
-    std::size_t lastProbed = 0; ///< Index among the other daemons, in the order of their ids.
+    /// Index among the other daemons, in the order of their ids, modulo their number. Begins at another one for each
+    /// daemon, since all that have lost the store would relay to the same one otherwise.
+    std::size_t lastProbed;
     std::optional<address> relayPeer; ///< Daemon that last offered to store jobs.
     time_point offeredAt; ///< In uptime.
     timer probeTimer;
