Measure the cost of a placement pass on the grown sites

Cause: no benchmark played cells of 350 workers with hundreds of waiting jobs, so a pass that used most of the leader's processor time was first seen in the incident. Ruled out: passes at the arrival rates of the sites, since the number of waiting jobs is then no input; it is held constant instead on a full cell. Change: the replay can hold the number of waiting jobs and records processor time and allocations of each pass; measure_placement prints them and their growth with workers and waiting jobs, as part of `make measure`.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 
 measure: build
 	@$(BUILD)/bin/measure_decisions
+	@GLOG_minloglevel=3 $(BUILD)/bin/measure_placement
 	@GLOG_minloglevel=3 $(BUILD)/bin/measure_policies
 
 # Starts a complete cell on this machine, runs work of all kinds and kills one daemon during the run.
--- a/test/performance/cell_replay.cpp
+++ b/test/performance/cell_replay.cpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <ctime>
+#include <deque>
 #include <numeric>
 #include <optional>
 #include <random>
@@ -18,8 +20,7 @@
 namespace {
 
 constexpr std::int64_t utcStart = 1700000000000;
-/// Interval of the passes of placement, and of the reports of each worker.
-constexpr std::int64_t passMs = 25;
+/// Interval of the reports of each worker; a multiple of the interval of the passes.
 constexpr std::int64_t reportMs = 300;
 /// Time from a placement to the start on the worker: a transaction and a call.
 constexpr std::int64_t startMs = 25;
@@ -68,7 +69,7 @@
     const replay_load &load;
     std::mt19937_64 random;
     cell_state state;
-    std::vector<replay_job> jobs;
+    std::deque<replay_job> jobs;
     std::unordered_map<job_key, replay_job *> byKey;
     std::vector<replay_run> runs; ///< In the order of their begin.
     std::vector<worker_set> faulty; ///< By fault of the load: its workers.
@@ -172,6 +173,41 @@
     }
 }
 
+/// Draws a job of a queue that is chosen in proportion to the rates of the queues.
+replay_job drawNextJob(replay &world)
+{
+    const std::vector<replay_queue> &queues = world.load.queues;
+    double rest = uniform(world.random)
+        * std::accumulate(queues.begin(), queues.end(), 0.0, [](double sum, const replay_queue &queue) {
+                      return sum + queue.jobsPerSecond;
+                  });
+    const auto chosen = std::find_if(queues.begin(), std::prev(queues.end()), [&rest](const replay_queue &queue) {
+        rest -= queue.jobsPerSecond;
+        return rest < 0;
+    });
+    return drawJob(world, *chosen, world.nowMs);
+}
+
+std::size_t countWaiting(const replay &world)
+{
+    return static_cast<std::size_t>(
+        std::count_if(world.state.jobs.begin(), world.state.jobs.end(), [](const auto &entry) {
+            const cell_step &step = entry.second->steps.front();
+            return !isFinal(entry.second->progress.phase) && step.done + step.placed < step.count;
+        }));
+}
+
+/// Adds jobs until as many as the load demands have waiting tasks. Returns the number of all jobs so far.
+std::size_t refillWaiting(replay &world)
+{
+    for (std::size_t waiting = countWaiting(world); waiting < world.load.waitingJobs; ++waiting) {
+        replay_job &job = world.jobs.emplace_back(drawNextJob(world));
+        world.byKey.emplace(job.accepted.key, &job);
+        addJob(world.state, job.accepted, {});
+    }
+    return world.jobs.size();
+}
+
 void addWorkers(replay &world)
 {
     for (std::size_t number = 0; number < world.load.workers; ++number) {
@@ -269,7 +305,7 @@
     if (world.nowMs < run.beganMs) {
         return std::nullopt;
     }
-    run.doneMs += static_cast<double>(passMs) * speed;
+    run.doneMs += static_cast<double>(world.load.passMs) * speed;
     if (run.failsAtMs >= 0 && run.doneMs >= run.failsAtMs) {
         return run_end::Failed;
     }
@@ -398,9 +434,33 @@
     return capacity;
 }
 
-void place(replay &world)
+std::chrono::nanoseconds threadTime()
+{
+    timespec used{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+}
+
+placement_outcome placeMeasured(replay &world, pass_meter &meter)
 {
-    placement_outcome outcome = placeWaiting(world.state, freeAdvisors(world), clockOf(world.nowMs));
+    pass_cost cost;
+    cost.atMs = world.nowMs;
+    cost.waitingJobs = countWaiting(world);
+    const advice_capacity capacity = freeAdvisors(world);
+    const std::uint64_t allocationsBefore = meter.countAllocations();
+    const std::chrono::nanoseconds before = threadTime();
+    placement_outcome outcome = placeWaiting(world.state, capacity, clockOf(world.nowMs));
+    cost.processorTime = threadTime() - before;
+    cost.allocations = meter.countAllocations() - allocationsBefore;
+    cost.placedTasks = outcome.placed.size();
+    meter.passes.push_back(cost);
+    return outcome;
+}
+
+void place(replay &world, pass_meter *meter)
+{
+    placement_outcome outcome = meter != nullptr ? placeMeasured(world, *meter)
+                                                 : placeWaiting(world.state, freeAdvisors(world), clockOf(world.nowMs));
     for (placed_run *run : outcome.placed) {
         beginRun(world, *run);
     }
@@ -465,24 +525,30 @@
 
 } // namespace
 
-std::vector<replay_figures> replayLoad(const replay_load &load, const cell_policy &policy, std::uint64_t seed)
+std::vector<replay_figures>
+replayLoad(const replay_load &load, const cell_policy &policy, std::uint64_t seed, pass_meter *meter)
 {
     replay world{load, std::mt19937_64(seed), {}, {}, {}, {}, {}, {}, 0};
     world.state.policy = policy;
-    drawArrivals(world);
+    if (load.waitingJobs == 0) {
+        drawArrivals(world);
+    }
     addWorkers(world);
     drawFaulty(world);
-    std::size_t next = 0;
-    for (; world.nowMs < load.lengthMs + finishMs; world.nowMs += passMs) {
+    const std::int64_t endMs = load.lengthMs + (load.waitingJobs == 0 ? finishMs : 0);
+    for (std::size_t next = 0; world.nowMs < endMs; world.nowMs += load.passMs) {
         for (; next < world.jobs.size() && world.jobs[next].arrivesMs <= world.nowMs; ++next) {
             addJob(world.state, world.jobs[next].accepted, {});
         }
+        if (load.waitingJobs > 0) {
+            next = refillWaiting(world);
+        }
         answerAdviceRequests(world);
         advanceRuns(world);
         if (world.nowMs % reportMs == 0) {
             report(world);
         }
-        place(world);
+        place(world, meter);
         storeChanges(world);
         watchIdleWaits(world);
     }
--- a/test/performance/cell_replay.h
+++ b/test/performance/cell_replay.h
@@ -4,6 +4,7 @@
 
 #include "term/cell_policy.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -63,6 +64,9 @@
     std::size_t advisors = 7; ///< Machines that call the advisor, each with one request at a time.
     std::int64_t ticketMs = 1500; ///< Validity of the advisor's tickets.
     std::int64_t lengthMs = 34000;
+    std::int64_t passMs = 25; ///< Interval of the placement passes.
+    /// If not 0, a job arrives whenever fewer jobs than this have waiting tasks, instead of at the rate of its queue.
+    std::size_t waitingJobs = 0;
 };
 
 /// Results of one queue.
@@ -78,8 +82,25 @@
     std::int64_t longestIdleWaitMs = 0;
 };
 
-/// Replays the load with a policy. The jobs depend only on the load and the seed, not on the policy.
-std::vector<replay_figures> replayLoad(const replay_load &load, const cell_policy &policy, std::uint64_t seed);
+/// Cost of a placement pass.
+struct pass_cost {
+    std::int64_t atMs = 0;
+    std::size_t waitingJobs = 0; ///< Jobs with waiting tasks before the pass.
+    std::size_t placedTasks = 0;
+    std::chrono::nanoseconds processorTime{0}; ///< Of the thread.
+    std::uint64_t allocations = 0; ///< On the heap.
+};
+
+/// Records the passes of a replay.
+struct pass_meter {
+    std::uint64_t (*countAllocations)() = nullptr; ///< Number of allocations of the process so far.
+    std::vector<pass_cost> passes;
+};
+
+/// Replays the load with a policy. With arrivals at the rates of the queues, the jobs depend only on the load and the
+/// seed, not on the policy. The meter may be null.
+std::vector<replay_figures>
+replayLoad(const replay_load &load, const cell_policy &policy, std::uint64_t seed, pass_meter *meter = nullptr);
 
 /// Share of the value that was earned, over all queues.
 double earnedShare(const std::vector<replay_figures> &figures);
