--- a/test/performance/measure_policies.cpp
+++ b/test/performance/measure_policies.cpp
@@ -1,6 +1,7 @@
-// Replays the loads of both sites with the default policy of a cell, with the simplest policy, and with each part of
-// the default replaced by the simplest choice. Usage: measure_policies [SEED [SEEDS]]. Prints a table of the share of
-// the jobs' value that was earned, as a mean over SEEDS seeds from SEED on.
+// Replays the loads of both sites, as they are and after their growth to 350 workers, with the default policy of a
+// cell, with the simplest policy, and with each part of the default replaced by the simplest choice. Usage:
+// measure_policies [SEED [SEEDS]]. Prints a table of the share of the jobs' value that was earned, as a mean over SEEDS
+// seeds from SEED on.
 #include "cell_replay.h"
 
 #include <algorithm>
@@ -60,7 +61,7 @@
 std::vector<replay_load> loads()
 {
     std::vector<replay_load> all;
-    for (const replay_load &site : {paguriLoad(), pompamassettoLoad()}) {
+    for (const replay_load &site : {paguriLoad(), pompamassettoLoad(), grownPaguriLoad(), grownPompamassettoLoad()}) {
         replay_load calm = site;
         calm.name += ", calm";
         calm.bursts.clear();
