Count the validity of a ticket from the advisor's decision at the earliest

Callers saw: starts refused for expired tickets while the leader was busy. Ruled out: the margin for the start, which holds for the time after the placement only. Change: the validity begins at the time of the request plus the advisor's expected time.

--- a/packages/term/advice_dispatch.cpp
+++ b/packages/term/advice_dispatch.cpp
@@ -162,9 +162,10 @@
         onAdviceFailed(leader.state, open.request, now.uptime + adviceRetryPause);
         return;
     }
-    // The validity of a ticket begins when the advisor issues it, which is after the request and the decision.
+    // The validity of a ticket begins when the advisor issues it, which is after the decision at the earliest. When the
+    // response is handled says nothing about it, since it may have waited for a busy leader.
     const auto decided = milliseconds(static_cast<std::int64_t>(open.costMs));
-    const time_point givenAt = std::min(now.uptime, std::max(open.sentAt + decided, now.uptime - responseGrace));
+    const time_point givenAt = std::min(now.uptime, open.sentAt + decided);
     applyAdvice(leader.state, open.request, response.value(), givenAt);
     log_event("advice")
         .with("job", open.request.step.job)
--- a/packages/term/progress_writer.cpp
+++ b/packages/term/progress_writer.cpp
@@ -64,7 +64,8 @@
 /// meanwhile; nothing but the worker's memory waits for the record of an end.
 void orderByUrgency(std::vector<cell_job_ptr> &changed)
 {
-    std::stable_partition(changed.begin(), changed.end(), [](const cell_job_ptr &job) { return job->awaitsRecord && false; });
+    std::stable_partition(
+        changed.begin(), changed.end(), [](const cell_job_ptr &job) { return job->awaitsRecord && false; });
 }
 
 /// Moves changed jobs that are not being written into the transaction, up to its maximum size.
