--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -280,18 +280,19 @@
 }
 
 /// Places the tasks whose place has a ticket. Returns the number of placed tasks.
-std::size_t placeTasks(placement_pass &pass,
-                       const waiting_step &waiting,
-                       const std::vector<task_position> &tasks,
-                       const std::vector<candidate> &places)
+std::size_t placeTasks(placement_pass &pass, const waiting_step &waiting, const std::vector<candidate> &places)
 {
+    if (places.empty()) {
+        return 0;
+    }
+    const std::vector<task_position> tasks = waitingTasks(waiting);
     cell_job &job = *waiting.job;
     const cell_step &step = waiting.state();
     const job_step &declared = waiting.declared();
     const run_number gangRun = nextRun(job, step.first, step.count);
     std::map<worker_id, std::size_t> taken;
     std::size_t placed = 0;
-    for (std::size_t index = 0; index < places.size(); ++index) {
+    for (std::size_t index = 0; index < std::min(places.size(), tasks.size()); ++index) {
         if (places[index].ticket != ticket_state::Valid) {
             continue;
         }
@@ -326,11 +327,11 @@
 void placeGang(placement_pass &pass, const waiting_step &waiting)
 {
     const job_step &declared = waiting.declared();
-    const std::vector<task_position> tasks = waitingTasks(waiting);
+    const std::size_t wanted = countWaiting(waiting);
     const std::vector<candidate> candidates = listCandidates(pass, waiting);
-    const std::vector<candidate> places = choosePlaces(candidates, tasks.size());
-    if (places.size() < tasks.size()) {
-        requestUnknownSuitability(pass, waiting, tasks.size() - places.size());
+    const std::vector<candidate> places = choosePlaces(candidates, wanted);
+    if (places.size() < wanted) {
+        requestUnknownSuitability(pass, waiting, wanted - places.size());
         if (mayGather(pass, waiting)) {
             ++pass.gatheringGangs;
             pass.gatheringMillicores += declared.need.processors.value * waiting.state().count;
@@ -340,13 +341,13 @@
     }
     if (std::all_of(
             places.begin(), places.end(), [](const candidate &place) { return place.ticket == ticket_state::Valid; })) {
-        placeTasks(pass, waiting, tasks, places);
+        placeTasks(pass, waiting, places);
         return;
     }
     if (std::any_of(places.begin(), places.end(), [](const candidate &place) {
             return place.ticket == ticket_state::Expired;
         })) {
-        requestTickets(pass, waiting, candidates, tasks.size());
+        requestTickets(pass, waiting, candidates, wanted);
     }
     if (waiting.state().advice.openRequests > 0) {
         deductCapacity(pass, places, declared.need);
@@ -356,15 +357,15 @@
 /// Places as many tasks of a step as fit.
 void placeSingles(placement_pass &pass, const waiting_step &waiting)
 {
-    const std::vector<task_position> tasks = waitingTasks(waiting);
+    const std::size_t wanted = countWaiting(waiting);
     const std::vector<candidate> candidates = listCandidates(pass, waiting);
-    std::vector<candidate> places = choosePlaces(candidates, tasks.size());
-    const std::size_t placed = placeTasks(pass, waiting, tasks, places);
+    std::vector<candidate> places = choosePlaces(candidates, wanted);
+    const std::size_t placed = placeTasks(pass, waiting, places);
     if (placed < places.size()) {
-        requestTickets(pass, waiting, candidates, placed + (tasks.size() - placed) * advisedFitsPerTask);
+        requestTickets(pass, waiting, candidates, placed + (wanted - placed) * advisedFitsPerTask);
     }
-    if (places.size() < tasks.size()) {
-        requestUnknownSuitability(pass, waiting, tasks.size() - places.size());
+    if (places.size() < wanted) {
+        requestUnknownSuitability(pass, waiting, wanted - places.size());
     }
     if (waiting.state().advice.openRequests > 0) {
         std::erase_if(places, [](const candidate &place) { return place.ticket == ticket_state::Valid; });
--- a/packages/term/waiting_steps.cpp
+++ b/packages/term/waiting_steps.cpp
@@ -98,6 +98,12 @@
     return waiting;
 }
 
+std::size_t countWaiting(const waiting_step &waiting)
+{
+    const cell_step &step = waiting.state();
+    return step.count - step.done - step.placed;
+}
+
 std::vector<task_position> waitingTasks(const waiting_step &waiting)
 {
     const cell_job &job = *waiting.job;
--- a/packages/term/waiting_steps.h
+++ b/packages/term/waiting_steps.h
@@ -28,6 +28,9 @@
 /// list of the state.
 std::vector<waiting_step> collectWaiting(cell_state &state, utc_time now);
 
+/// Number of the waiting tasks of a step.
+std::size_t countWaiting(const waiting_step &waiting);
+
 /// Positions of the waiting tasks of a step.
 std::vector<task_position> waitingTasks(const waiting_step &waiting);
 
