--- a/test/fuzz/cell_liveness_model.cpp
+++ b/test/fuzz/cell_liveness_model.cpp
@@ -410,7 +410,9 @@
     };
     settings.workers = static_cast<std::size_t>(draw(120, 350));
     settings.daemons = static_cast<std::size_t>(draw(8, 32));
-    settings.advisor = simulated_advisor{static_cast<double>(draw(15, 80)) / 100};
+    // With few suitable workers, wide gangs need most of those of the cell.
+    const std::int64_t suitablePercent = draw(0, 1) == 0 ? draw(4, 20) : draw(15, 80);
+    settings.advisor = simulated_advisor{static_cast<double>(suitablePercent) / 100};
     const bool faults = draw(0, 3) > 0;
     arrivals small{queuePrefix, makeSmallJob, static_cast<double>(draw(5, 40)) / 100};
     arrivals wide{gangPrefix, makeWideJob, static_cast<double>(draw(5, 30)) / 100};
