Put the order of records into effect and leave room for ends

Found by the reviewer: carried a condition from a trial that switched the order off, so that placements were still recorded in the order of all changes. Ruled out: the 16 transactions, which were in effect.

--- a/packages/term/progress_writer.cpp
+++ b/packages/term/progress_writer.cpp
@@ -24,6 +24,9 @@
 constexpr unsigned maxOpenCommits = 16;
 /// Limit of the platform on the number of conditions, writes and removals in one transaction.
 constexpr std::size_t maxEntries = 32;
+/// Number of these that placements may use. The others are left to ends, which would wait for ever if placements filled
+/// every transaction.
+constexpr std::size_t maxPlacementEntries = 24;
 /// Time limit of one transaction. It is short because a conditional transaction can be repeated safely: the store takes
 /// 4 ms, or 60 times as long while it is slow.
 constexpr milliseconds commitLimit{600};
@@ -61,11 +64,10 @@
 }
 
 /// Moves jobs with runs that wait to be recorded to the front. A start waits for its record, and its ticket expires
-/// meanwhile; nothing but the worker's memory waits for the record of an end.
+/// meanwhile; the record of an end delays what callers see of the job.
 void orderByUrgency(std::vector<cell_job_ptr> &changed)
 {
-    std::stable_partition(
-        changed.begin(), changed.end(), [](const cell_job_ptr &job) { return job->awaitsRecord && false; });
+    std::stable_partition(changed.begin(), changed.end(), [](const cell_job_ptr &job) { return job->awaitsRecord; });
 }
 
 /// Moves changed jobs that are not being written into the transaction, up to its maximum size.
@@ -77,7 +79,8 @@
     std::size_t entries = 1;
     for (cell_job_ptr &job : leader.state.changed) {
         const std::size_t needed = entriesOf(*job);
-        if (job->writing || entries + needed > maxEntries) {
+        const std::size_t limit = job->awaitsRecord ? maxPlacementEntries : maxEntries;
+        if (job->writing || entries + needed > limit) {
             left.push_back(std::move(job));
             continue;
         }
