Renew the tickets of gangs on more than 100 workers, and ask on without a pause

Ruled out: requests for unknown workers, which are split already. Change: a renewal is split into requests of 100; a response or a failure ends the pause.

--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -233,16 +233,20 @@
             fit += choice.fit;
             return enough;
         });
-    const auto count = std::min(static_cast<std::size_t>(last - candidates.begin()), maxAdviceWorkers);
-    const auto responseTime = std::chrono::duration_cast<milliseconds>(adviceTime(timing, count));
+    const auto count = static_cast<std::size_t>(last - candidates.begin());
+    const auto responseTime =
+        std::chrono::duration_cast<milliseconds>(adviceTime(timing, std::min(count, maxAdviceWorkers)));
     const time_point neededUntil = pass.now.uptime + responseTime + ticketMargin(pass.state, timing.valid);
     std::vector<worker_slot> workers;
-    for (std::size_t index = 0; index < count; ++index) {
-        const candidate &choice = candidates[index];
+    for (auto choice = candidates.begin(); choice != last; ++choice) {
         const bool expires =
-            choice.ticket == ticket_state::Expired || (waiting.declared().gang && choice.validUntil < neededUntil);
-        if (expires && !contains(waiting.state().advice.requested, choice.worker->slot)) {
-            workers.push_back(choice.worker->slot);
+            choice->ticket == ticket_state::Expired || (waiting.declared().gang && choice->validUntil < neededUntil);
+        if (expires && !contains(waiting.state().advice.requested, choice->worker->slot)) {
+            workers.push_back(choice->worker->slot);
+        }
+        if (workers.size() == maxAdviceWorkers) {
+            addAdviceRequest(pass, waiting, workers);
+            workers.clear();
         }
     }
     addAdviceRequest(pass, waiting, workers);
@@ -402,6 +406,7 @@
     cell_job &job = *found->second;
     step_advice &advice = job.steps[request.step.step].advice;
     --advice.openRequests;
+    advice.nextSelectionAt = {};
     std::map<worker_id, advice_ticket> tickets;
     for (const advised_worker &advised : response.suitable) {
         tickets.emplace(advised.worker, advised.ticket);
@@ -439,6 +444,7 @@
     }
     step_advice &advice = found->second->steps[request.step.step].advice;
     --advice.openRequests;
+    advice.nextSelectionAt = {};
     advice.nextRequestAt = nextAdviceAt;
     for (const worker_id &id : request.workers) {
         if (const auto worker = state.workers.find(id); worker != state.workers.end()) {
--- a/test/correctness/cell_advice.cpp
+++ b/test/correctness/cell_advice.cpp
@@ -585,3 +585,41 @@
     CHECK(placeWaiting(state, ample, at(0)).placed.size() == 1);
     CHECK(job->runs[3] != nullptr);
 }
+
+TEST_CASE("a gang on more workers than one request may name gets tickets for all of them")
+{
+    // Regression: each renewal named the same first 100 workers, so that the tickets of the others stayed expired.
+    for (const std::uint32_t width : {90U, 120U, 150U}) {
+        INFO("width " << width);
+        cell_state state;
+        addWorkers(state, 350);
+        cell_job &gang = addAdvised(state, "gang", makeStep(width, 16, true));
+        gang.accepted.policy.advice = timingOf(900);
+        step_advice &advice = gang.steps[0].advice;
+        for (const cell_worker *worker : state.slots) {
+            insert(advice.assessed, worker->slot);
+            setSuitable(advice, {worker->slot, advice_ticket("t"), at(-100).uptime});
+        }
+        std::vector<advice_request> requests = placeWaiting(state, ample, at(0)).adviceRequests;
+        CHECK(gang.steps[0].placed == 0);
+        for (const advice_request &request : requests) {
+            CHECK(request.workers.size() <= maxAdviceWorkers);
+            applyAdvice(state, request, suitableAll(request), at(900).uptime);
+        }
+        placeWaiting(state, ample, at(910));
+        CHECK(gang.steps[0].placed == width);
+    }
+}
+
+TEST_CASE("a step asks on as soon as a response was not enough")
+{
+    // Regression: an urgent step waited for 100 ms after each response of 20 ms.
+    cell_state state;
+    addWorkers(state, 350);
+    addAdvised(state, "small", makeStep(3, 2), 0).accepted.policy.advice = timingOf(8, 0.14);
+    const placement_outcome first = placeWaiting(state, ample, at(0));
+    REQUIRE(first.adviceRequests.size() == 1);
+    CHECK(placeWaiting(state, ample, at(10)).adviceRequests.empty());
+    applyAdvice(state, first.adviceRequests[0], {}, at(20).uptime);
+    CHECK(placeWaiting(state, ample, at(20)).adviceRequests.size() == 1);
+}
