Treat a start that was refused as outdated as one that may take effect

Found by the reviewer by reading: a first start refused as outdated was ended by a report that was already on its way, so that its task could be placed again while an earlier order still ran. No test shows the event. Change: the run stays until a stop is acknowledged, as the comment says; handleStartReply is split by kind of reply.

--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -14,7 +14,7 @@
 /// Time beyond its wait after which a poll is considered lost.
 constexpr milliseconds pollGrace{600};
 /// Pause after a poll that reported ends, so that the next poll collects several. It grows with the number of workers:
-/// with 60 ms, a leader of 350 workers makes 725 polls a second and starts runs late.
+/// with 60 ms, a leader of 350 workers makes 725 polls a second, as many calls as starts.
 constexpr milliseconds leastPollPause{60};
 constexpr milliseconds longestPollPause{150};
 constexpr double pollPausePerWorkerMs = 0.43;
@@ -286,6 +286,61 @@
     withdrawRun(leader->state, run, now);
 }
 
+/// Handles a start without a reply: the order may have been executed, or may be executed later.
+void handleUnansweredStart(const std::shared_ptr<cell_leader> &leader,
+                           placed_run &run,
+                           const error &problem,
+                           const clock_reading &now)
+{
+    addCount(*leader->context.counters, cell_metrics::startsUnanswered);
+    log_event("start_unanswered", log_level::Warning)
+        .with("job", run.job->accepted.key)
+        .with("task", run.position)
+        .with("run", run.run)
+        .with("worker", run.worker->id)
+        .with("problem", problem.message);
+    if (run.begun) {
+        // A report has listed the run meanwhile, so the repeated start has no effect.
+        return;
+    }
+    const bool notSent = problem.kind == error_kind::Unreachable || problem.kind == error_kind::Overloaded;
+    if (notSent && !run.startUnknown) {
+        withdrawRun(leader->state, run, now);
+        leader->placementDue = true;
+        return;
+    }
+    // A start is idempotent: if repeated, it either finds the existing run or starts it.
+    const bool firstLoss = !run.startUnknown;
+    run.startUnknown = true;
+    if (firstLoss && run.state == run_state::Starting) {
+        sendStart(leader, run, now);
+    } else {
+        abandonStart(leader->state, run);
+    }
+}
+
+void handleStartRefusal(const std::shared_ptr<cell_leader> &leader,
+                        placed_run &run,
+                        order_refusal refusal,
+                        const clock_reading &now)
+{
+    if (stepDownIfFenced(*leader, refusal)) {
+        return;
+    }
+    if (run.begun) {
+        // A repeated start is refused if the run has ended meanwhile or its ticket has expired; the end is reported.
+        return;
+    }
+    if (run.startUnknown || refusal == order_refusal::Outdated) {
+        // An earlier order may still take effect or has taken effect, so the run stays until a stop is acknowledged and
+        // a report shows how it ended.
+        run.startUnknown = true;
+        abandonStart(leader->state, run);
+        return;
+    }
+    handleRefusedStart(leader, run, refusal, now);
+}
+
 void handleStartReply(const std::shared_ptr<cell_leader> &leader,
                       const run_name &name,
                       const result<order_reply> &reply,
@@ -296,50 +351,11 @@
         return;
     }
     if (!reply) {
-        addCount(*leader->context.counters, cell_metrics::startsUnanswered);
-        log_event("start_unanswered", log_level::Warning)
-            .with("job", name.job)
-            .with("task", name.position)
-            .with("run", name.run)
-            .with("worker", run->worker->id)
-            .with("problem", reply.error().message);
-        if (run->begun) {
-            // A report has listed the run meanwhile, so the repeated start has no effect.
-            return;
-        }
-        if (reply.error().kind == error_kind::Unreachable || reply.error().kind == error_kind::Overloaded) {
-            if (!run->startUnknown) {
-                withdrawRun(leader->state, *run, now);
-                leader->placementDue = true;
-                return;
-            }
-        }
-        // A start is idempotent: if repeated, it either finds the existing run or starts it.
-        const bool firstLoss = !run->startUnknown;
-        run->startUnknown = true;
-        if (firstLoss && run->state == run_state::Starting) {
-            sendStart(leader, *run, now);
-        } else {
-            abandonStart(leader->state, *run);
-        }
+        handleUnansweredStart(leader, *run, reply.error(), now);
         return;
     }
     if (reply.value().refusal != order_refusal::None) {
-        if (stepDownIfFenced(*leader, reply.value().refusal)) {
-            return;
-        }
-        if (run->begun) {
-            // A repeated start is refused if the run has ended meanwhile or its ticket has expired; the end is
-            // reported.
-            return;
-        }
-        if (run->startUnknown || reply.value().refusal == order_refusal::Outdated) {
-            // An earlier order may still take effect or has taken effect, so the run stays until a stop is acknowledged
-            // and a report shows how it ended.
-            abandonStart(leader->state, *run);
-            return;
-        }
-        handleRefusedStart(leader, *run, reply.value().refusal, now);
+        handleStartRefusal(leader, *run, reply.value().refusal, now);
         return;
     }
     run->startUnknown = false;
