Let the mean delay of starts decay

Found by the reviewer by reading: a leader so late that all tickets seem expired starts nothing, and so never measures a shorter delay. Measured: not reproduced; the tests pass.

--- a/packages/term/cell_leader.cpp
+++ b/packages/term/cell_leader.cpp
@@ -19,6 +19,10 @@
 /// half a millisecond; the placements of several passes are written to the store together anyway.
 constexpr milliseconds placementPause{10};
 
+/// Factor by which the mean delay of starts decays with each upkeep. Without it, a leader that had been so late that
+/// all tickets seemed expired would start nothing, and so never measure a shorter delay.
+constexpr double startDelayDecay = 0.98;
+
 /// Adds the waits that have ended since the last call to the metrics.
 void recordWaits(cell_leader &leader)
 {
@@ -62,6 +66,7 @@
         return;
     }
     recordWaits(*leader);
+    leader->state.startDelayMs *= startDelayDecay;
     endExpiredRuns(*leader, now);
     expireAdviceRequests(*leader, now);
     reportLoad(leader, now);
