--- a/packages/term/advice_selection.cpp
+++ b/packages/term/advice_selection.cpp
@@ -15,8 +15,8 @@
 /// step, from which on a step waits for freed capacity instead of asking about further workers. With 4 on a cell that
 /// is 88% busy, a wide gang finds capacity within about a second.
 constexpr double potentialPerTask = 4;
-/// Part of the fixed time of a request by which a longer list of workers may extend it: a second request would cost all
-/// of the fixed time again.
+/// Extension of a request, as a multiple of its fixed time, up to which its list of workers is not shortened: a second
+/// request would cost all of the fixed time again.
 constexpr double cheapExtension = 1;
 /// Lower bound of the expected share of suitable workers, so that a queue whose first requests found none goes on.
 constexpr double lowestShare = 0.05;
@@ -89,7 +89,7 @@
     return expected;
 }
 
-/// Number of workers up to which the list extends a request only slightly.
+/// Number of workers up to which the list of a request is not shortened.
 std::size_t cheapCount(const advice_timing &timing)
 {
     if (timing.perWorker.count() <= 0) {
--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -218,6 +218,18 @@
     }
 }
 
+/// Number of candidates from the front on which `wanted` tasks fit, or all.
+std::size_t countCandidates(const std::vector<candidate> &candidates, std::size_t wanted)
+{
+    std::int64_t fit = 0;
+    std::size_t count = 0;
+    while (count < candidates.size() && fit < static_cast<std::int64_t>(wanted)) {
+        fit += candidates[count].fit;
+        ++count;
+    }
+    return count;
+}
+
 /// Requests new tickets for workers from the front of the candidates until `wanted` tasks fit on them. For a gang,
 /// tickets that would expire before the response can be used are renewed as well, since all members need valid tickets
 /// at the same time.
@@ -227,22 +239,17 @@
                     std::size_t wanted)
 {
     const advice_timing &timing = *waiting.job->accepted.policy.advice;
-    const auto last = std::find_if(
-        candidates.begin(), candidates.end(), [fit = std::int64_t{0}, wanted](const candidate &choice) mutable {
-            const bool enough = fit >= static_cast<std::int64_t>(wanted);
-            fit += choice.fit;
-            return enough;
-        });
-    const auto count = static_cast<std::size_t>(last - candidates.begin());
+    const std::size_t count = countCandidates(candidates, wanted);
     const auto responseTime =
         std::chrono::duration_cast<milliseconds>(adviceTime(timing, std::min(count, maxAdviceWorkers)));
     const time_point neededUntil = pass.now.uptime + responseTime + ticketMargin(pass.state, timing.valid);
     std::vector<worker_slot> workers;
-    for (auto choice = candidates.begin(); choice != last; ++choice) {
+    for (std::size_t index = 0; index < count; ++index) {
+        const candidate &choice = candidates[index];
         const bool expires =
-            choice->ticket == ticket_state::Expired || (waiting.declared().gang && choice->validUntil < neededUntil);
-        if (expires && !contains(waiting.state().advice.requested, choice->worker->slot)) {
-            workers.push_back(choice->worker->slot);
+            choice.ticket == ticket_state::Expired || (waiting.declared().gang && choice.validUntil < neededUntil);
+        if (expires && !contains(waiting.state().advice.requested, choice.worker->slot)) {
+            workers.push_back(choice.worker->slot);
         }
         if (workers.size() == maxAdviceWorkers) {
             addAdviceRequest(pass, waiting, workers);
--- a/packages/term/step_advice.cpp
+++ b/packages/term/step_advice.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-auto entryOf(step_advice &advice, worker_slot worker)
+/// Works on constant and mutable advice.
+template<typename Advice>
+auto entryOf(Advice &advice, worker_slot worker)
 {
     return std::find_if(advice.suitable.begin(), advice.suitable.end(), [worker](const suitable_worker &entry) {
         return entry.worker == worker;
