Contain unexpected errors in single items and report crashes with their stack

Ruled out: catching in each handler; the mailbox, the mirror and the packet sink are the places all items pass through. Change: runContained() around each of them; a crash handler writes the pending lines and the stack as one line. Result: error/contained_errors, 4 cases; without the boundary an exception in a task ends the test process.

--- a/packages/base/log.cpp
+++ b/packages/base/log.cpp
@@ -31,11 +31,11 @@
 
 std::atomic<log_writer *> activeWriter = nullptr;
 
-void writeAll(const std::string &text)
+void writeAll(int descriptor, const std::string &text)
 {
     std::size_t written = 0;
     while (written < text.size()) {
-        const ssize_t count = write(STDOUT_FILENO, text.data() + written, text.size() - written);
+        const ssize_t count = write(descriptor, text.data() + written, text.size() - written);
         if (count <= 0) {
             return;
         }
@@ -58,7 +58,7 @@
             writer.droppedLines = 0;
         }
         lock.unlock();
-        writeAll(text);
+        writeAll(STDOUT_FILENO, text);
         lock.lock();
     }
 }
@@ -157,6 +157,17 @@
     // Another thread may still be appending a line, so the writer is not freed.
 }
 
+void writePendingLines(int descriptor)
+{
+    log_writer *writer = activeWriter;
+    if (writer == nullptr || !writer->mutex.try_lock()) {
+        return;
+    }
+    writeAll(descriptor, writer->pending);
+    writer->pending.clear();
+    writer->mutex.unlock();
+}
+
 log_event::~log_event()
 {
     if (log_writer *writer = activeWriter) {
--- a/packages/base/log.h
+++ b/packages/base/log.h
@@ -28,6 +28,10 @@
 /// Writes the pending lines and ends the thread of startLogWriter().
 void stopLogWriter();
 
+/// Writes the pending lines to the file descriptor from a crash handler. Writes nothing if the writer is being used by
+/// a thread at that moment.
+void writePendingLines(int descriptor);
+
 /// A log line, written when the object goes out of scope: event=NAME followed by the fields in the order given.
 /// Values with spaces, quotes, equal signs or control characters are quoted and escaped.
 class log_event
--- a/packages/base/mailbox.cpp
+++ b/packages/base/mailbox.cpp
@@ -1,5 +1,7 @@
 #include "base/mailbox.h"
 
+#include "base/error_boundary.h"
+
 namespace sesamespar {
 
 namespace {
@@ -45,15 +47,31 @@
     return true;
 }
 
-void runMailbox(mailbox &box, timer_service &timers, const bool &finished, const control_task &afterBatch)
+void runBatch(std::deque<control_task> &tasks,
+              timer_service &timers,
+              const mailbox_handlers &handlers,
+              const std::function<clock_reading()> &readClock)
+{
+    const auto contain = [&](std::string_view kind, const auto &step) {
+        const bool completed = runContained(kind, {}, step);
+        if (!completed && handlers.onError) {
+            runContained("error_handler", {}, [&] { handlers.onError(readClock()); });
+        }
+        return completed;
+    };
+    for (control_task &task : tasks) {
+        contain("task", [&] { task(readClock()); });
+    }
+    // A timer is no longer pending when it fires, so the next round continues with the one after it.
+    while (!contain("timer", [&] { fireDue(timers, readClock()); })) { }
+    contain("batch", [&] { handlers.afterBatch(readClock()); });
+}
+
+void runMailbox(mailbox &box, timer_service &timers, const bool &finished, const mailbox_handlers &handlers)
 {
     while (!finished) {
         std::deque<control_task> tasks = waitForTasks(box, timers);
-        for (control_task &task : tasks) {
-            task(readClocks());
-        }
-        fireDue(timers, readClocks());
-        afterBatch(readClocks());
+        runBatch(tasks, timers, handlers, readClocks);
     }
 }
 
--- a/packages/base/mailbox.h
+++ b/packages/base/mailbox.h
@@ -43,8 +43,20 @@
     };
 }
 
-/// Runs tasks and timers until one of them sets `finished`. After each batch of tasks and timers, `afterBatch` runs
-/// once.
-void runMailbox(mailbox &box, timer_service &timers, const bool &finished, const control_task &afterBatch);
+/// What runs besides the tasks and the timers.
+struct mailbox_handlers {
+    control_task afterBatch; ///< Runs after each batch of tasks and timers.
+    control_task onError; ///< Runs after an exception left a task, a timer or `afterBatch`. May be empty.
+};
+
+/// Runs the tasks, then the timers that are due, then `afterBatch`. An exception ends only the task or timer that it
+/// left, and is logged.
+void runBatch(std::deque<control_task> &tasks,
+              timer_service &timers,
+              const mailbox_handlers &handlers,
+              const std::function<clock_reading()> &readClock);
+
+/// Runs batches until a task or a timer sets `finished`.
+void runMailbox(mailbox &box, timer_service &timers, const bool &finished, const mailbox_handlers &handlers);
 
 } // namespace sesamespar
--- a/packages/connection/packet_links.cpp
+++ b/packages/connection/packet_links.cpp
@@ -1,5 +1,6 @@
 #include "connection/packet_links.h"
 
+#include "base/error_boundary.h"
 #include "base/log.h"
 
 #include <nng/nng.h>
@@ -50,7 +51,9 @@
 void handlePacket(packet_links &links, nng_msg *packet)
 {
     links.bytesReceived += nng_msg_len(packet);
-    links.sink({static_cast<const char *>(nng_msg_body(packet)), nng_msg_len(packet)});
+    runContained("packet", {}, [&] {
+        links.sink({static_cast<const char *>(nng_msg_body(packet)), nng_msg_len(packet)});
+    });
     nng_msg_free(packet);
 }
 
--- a/packages/connection/store_mirror.cpp
+++ b/packages/connection/store_mirror.cpp
@@ -1,5 +1,6 @@
 #include "connection/store_mirror.h"
 
+#include "base/error_boundary.h"
 #include "base/log.h"
 
 #include <set>
@@ -74,14 +75,14 @@
     store_revision &known = mirror.known[item.key];
     if (known < item.revision) {
         known = item.revision;
-        mirror.sink.changed(item, now);
+        runContained("store_entry", item.key, [&] { mirror.sink.changed(item, now); });
     }
 }
 
 void handleRemoval(store_mirror &mirror, const std::string &key, const clock_reading &now)
 {
     if (mirror.known.erase(key) > 0) {
-        mirror.sink.removed(key, now);
+        runContained("store_removal", key, [&] { mirror.sink.removed(key, now); });
     }
 }
 
@@ -114,7 +115,7 @@
     }
     mirror->revision = mirror->listingFrom;
     mirror->listedAt = now.uptime;
-    mirror->sink.listed(now);
+    runContained("store_listing", mirror->prefix, [&] { mirror->sink.listed(now); });
     if (!mirror->stopped) {
         watch(mirror);
     }
