Bound numbers and ports that come from other writers

Ruled out: deep nesting, which the iterative parser refuses without harm (500,000 levels, now a check). Change: addresses need a host and a port of 1 to 65535; amounts, births and clocks have bounds at the decoders; sizes of a job's tasks are refused above a million cores. Result: error/platform_input passes; its new cases cover each field.

--- a/packages/connection/json_reader.h
+++ b/packages/connection/json_reader.h
@@ -33,6 +33,17 @@
         return field != nullptr && field->IsInt64() ? field->GetInt64() : fallback;
     }
 
+    /// The number, or nothing if it is absent, of another type or outside the range. Keeps arithmetic on numbers of
+    /// other writers far from overflow.
+    std::optional<std::int64_t> boundedNumber(const char *name, std::int64_t least, std::int64_t most) const
+    {
+        const rapidjson::Value *field = find(name);
+        if (field == nullptr || !field->IsInt64() || field->GetInt64() < least || field->GetInt64() > most) {
+            return std::nullopt;
+        }
+        return field->GetInt64();
+    }
+
     double real(const char *name, double fallback) const
     {
         const rapidjson::Value *field = find(name);
--- a/packages/process/cell_election.cpp
+++ b/packages/process/cell_election.cpp
@@ -246,9 +246,13 @@
     }
 }
 
-void concede(cell_election &election)
+void concede(cell_election &election, const char *reason)
 {
-    loseTerm(election, "a higher fencing token exists");
+    if (election.leading) {
+        loseTerm(election, reason);
+        // The others can elect at once; if another daemon leads already, this daemon's lease no longer matters.
+        election.context.store.endLease(election.lease, electionLimit, [](const result<granted_lease> &) {});
+    }
 }
 
 void withdraw(cell_election &election)
--- a/packages/process/cell_election.h
+++ b/packages/process/cell_election.h
@@ -52,9 +52,9 @@
 /// Handles the end of a listing of the cell's keys. Schedules a campaign if there is no leader.
 void onKeysListed(cell_election &election, const clock_reading &now);
 
-/// Ends this daemon's term because a higher fencing token exists. The lease is no longer renewed; this daemon campaigns
+/// Ends this daemon's term and its lease, for example because a higher fencing token exists. This daemon campaigns
 /// again only after the leader's key was removed.
-void concede(cell_election &election);
+void concede(cell_election &election, const char *reason);
 
 /// Stops campaigning permanently. A leader also ends its lease, so that the other daemons can elect at once.
 void withdraw(cell_election &election);
--- a/packages/request/stepped_job.cpp
+++ b/packages/request/stepped_job.cpp
@@ -8,6 +8,14 @@
 namespace {
 
 constexpr std::size_t jobKeyDigits = 16;
+/// Largest amount of a resource that a task may need: a million cores, a petabyte of memory. Sums over all tasks stay
+/// far from overflow.
+constexpr std::int64_t maxNeed = 1000000000;
+
+bool isNeed(std::int64_t amount)
+{
+    return amount >= 0 && amount <= maxNeed;
+}
 
 void addFinding(findings &found, const std::string &field, const std::string &problem, const std::string &allowed)
 {
@@ -21,8 +29,8 @@
         addFinding(found, field + ".count", "is " + std::to_string(step.count), "1 to " + std::to_string(maxTasks));
     }
     const resources &need = step.need;
-    if (need.processors.value < 0 || need.memory.value < 0 || need.accelerator.value < 0) {
-        addFinding(found, field, "has a negative size", "0 or more");
+    if (!isNeed(need.processors.value) || !isNeed(need.memory.value) || !isNeed(need.accelerator.value)) {
+        addFinding(found, field, "has a size out of range", "0 to " + std::to_string(maxNeed));
     }
     for (const std::uint32_t dependency : step.after) {
         if (dependency >= number) {
--- a/test/error/platform_input.cpp
+++ b/test/error/platform_input.cpp
@@ -52,6 +52,51 @@
         decodeWorkerEntry(id, R"({"service":"s","address":"a:1","state":"ready","capacity":{"cpu":"1","memMb":1}})"));
 }
 
+TEST_CASE("an entry with a number or a port out of range is not a usable worker")
+{
+    // Sums of such capacities overflow, calls to such addresses fail, and such an incarnation would hide the worker's
+    // own entries and reports.
+    const auto replaced = [](const std::string &from, const std::string &to) {
+        std::string entry = validEntry;
+        entry.replace(entry.find(from), from.size(), to);
+        return decodeWorkerEntry(worker_id("i-1"), entry);
+    };
+    CHECK(replaced("10.0.0.1:80", "10.0.0.1:65535"));
+    CHECK_FALSE(replaced("10.0.0.1:80", "10.0.0.1:99999"));
+    CHECK_FALSE(replaced("10.0.0.1:80", "10.0.0.1:0"));
+    CHECK_FALSE(replaced("10.0.0.1:80", "10.0.0.1:8o"));
+    CHECK_FALSE(replaced("10.0.0.1:80", "10.0.0.1:-1"));
+    CHECK_FALSE(replaced("10.0.0.1:80", "10.0.0.1:4294967376"));
+    CHECK_FALSE(replaced("10.0.0.1:80", "10.0.0.1 x:80"));
+    CHECK_FALSE(replaced("16000", "9223372036854775807"));
+    CHECK_FALSE(replaced("16000", "92233720368547758070"));
+    CHECK_FALSE(replaced("32768", "1e300"));
+    CHECK_FALSE(replaced("\"gpu\":0", "\"gpu\":9223372036854775807"));
+    CHECK_FALSE(replaced("\"gpu\":0", "\"gpu\":-1"));
+    CHECK_FALSE(replaced("1700000000123", "9223372036854775807"));
+    CHECK_FALSE(replaced("1700000000123", "-1"));
+    std::string nested = "{\"labels\":";
+    nested.append(500000, '[').append(500000, ']').append("}");
+    CHECK_FALSE(decodeWorkerEntry(worker_id("i-1"), nested));
+}
+
+TEST_CASE("a report or an answer with a clock out of range sets no clock")
+{
+    CHECK_FALSE(decodeReport(R"({"clockMs":9223372036854775807,"running":[],"ended":[]})"));
+    CHECK_FALSE(decodeReport(R"({"clockMs":-5,"running":[],"ended":[]})"));
+    CHECK(decodeReport(R"({"clockMs":5,"running":[],"ended":[]})"));
+}
+
+TEST_CASE("numbers out of range in a job are bounded")
+{
+    const auto job = decodeJob(
+        R"({"spec":"x","steps":[{"count":1,"cpu":100,"memMb":1,"estimateMs":1e300,"antiAffinity":4294967297}]})");
+    REQUIRE(job);
+    CHECK(job.value().steps[0].estimate <= std::chrono::hours(24 * 365));
+    CHECK(job.value().steps[0].estimate > milliseconds(0));
+    CHECK(job.value().steps[0].maxPerWorker > 1);
+}
+
 TEST_CASE("a configuration keeps its well-formed queues")
 {
     const auto configuration = decodeConfiguration(
