--- a/packages/connection/cell_context.h
+++ b/packages/connection/cell_context.h
@@ -8,6 +8,7 @@
 #include "connection/daemon_message.h"
 #include "connection/discovery_port.h"
 #include "connection/store_port.h"
+#include "connection/traffic_ledger.h"
 #include "connection/worker_port.h"
 
 namespace sesamespar {
@@ -45,6 +46,7 @@
     mailbox box;
     timer_service timers;
     metrics_ptr counters = makeMetrics();
+    traffic_ledger traffic;
     incarnation_id incarnation; ///< Distinguishes this process from earlier ones of the same name.
     std::uint32_t correlationCount = 0; ///< Correlation ids issued by all components and terms of this process.
 };
--- a/packages/connection/http_requests.cpp
+++ b/packages/connection/http_requests.cpp
@@ -104,6 +104,7 @@
     pplx::cancellation_token_source cancellation;
     http_done done;
     std::shared_ptr<address_client> client; ///< Set when the pool admits the call.
+    traffic_totals *traffic = nullptr;
     std::atomic<bool> finished = false;
     /// The complete request was written at least once. Stays set when the library sends the request again.
     std::atomic<bool> written = false;
@@ -151,6 +152,29 @@
     return makeError(call.written ? error_kind::Unknown : error_kind::Unreachable, call.to.value + ": " + problem);
 }
 
+/// Size of the status line and the header fields of an answer.
+std::size_t headerBytes(const web::http::http_headers &headers)
+{
+    constexpr std::size_t statusLine = 19;
+    constexpr std::size_t separators = 4;
+    std::size_t size = statusLine;
+    for (const auto &[name, value] : headers) {
+        size += name.size() + value.size() + separators;
+    }
+    return size;
+}
+
+/// Counts a request with an estimate of the fields that the library adds.
+void countSent(traffic_totals &totals, const outgoing_request &message)
+{
+    constexpr std::size_t libraryFields = 150;
+    ++totals.calls;
+    totals.sent += libraryFields + message.target.size() + message.body.size();
+    for (const http_field &field : message.fields) {
+        totals.sent += field.name.size() + field.value.size();
+    }
+}
+
 /// Reads the body of an answer. The body is read even if Content-Length is above the limit, because the library
 /// terminates the process if reading an answer fails and nothing observes the failure.
 pplx::task<http_reply> readBody(const pending_ref &call, const web::http::http_response &response)
@@ -159,6 +183,9 @@
         finish(call, makeError(error_kind::InvalidInput, call->to.value + " announced an answer above the size limit"));
         call->cancellation.cancel();
     }
+    if (call->traffic != nullptr) {
+        call->traffic->received += headerBytes(response.headers()) + response.headers().content_length();
+    }
     return response.extract_utf8string(true).then([status = response.status_code()](std::string body) {
         return http_reply{status, std::move(body)};
     });
@@ -244,6 +271,10 @@
 {
     ++call->pool.counters.calls;
     call->pool.counters.bytesSent += message.body.size();
+    call->traffic = message.traffic;
+    if (message.traffic != nullptr) {
+        countSent(*message.traffic, message);
+    }
     startDeadline(call, limit);
     client.request(makeRequest(call, message), call->cancellation.get_token())
         .then([call](const web::http::http_response &response) { return readBody(call, response); })
--- a/packages/connection/http_requests.h
+++ b/packages/connection/http_requests.h
@@ -5,6 +5,7 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "connection/traffic_ledger.h"
 
 #include <functional>
 #include <memory>
@@ -28,6 +29,7 @@
     std::string target; ///< Path and query, percent-encoded.
     std::string body;
     std::vector<http_field> fields;
+    traffic_totals *traffic = nullptr; ///< Counts the call, if set. Must outlive it.
 };
 
 /// A complete answer, whatever its status.
