Hold the term while the outcomes of its calls are handled

The crash line named handleOutcomes: it took the daemon's pointer to the leader by reference, and an outcome that shows a higher fencing token resets that pointer. Change: the handlers hold the term. settleTerm as well.

--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -282,8 +282,9 @@
     }
     // A daemon that has lost the store accepts no new connections, since another daemon may still reach the store.
     daemon.ready = daemon.configuration && !daemon.draining && !daemon.intake->storeLost;
-    if (daemon.leader) {
-        settleTerm(daemon.leader, now);
+    // The term may end on the way, which resets daemon.leader.
+    if (const auto leader = daemon.leader) {
+        settleTerm(leader, now);
     }
     flushOutcomes(*daemon.executor, now);
 }
--- a/packages/process/cell_requests.cpp
+++ b/packages/process/cell_requests.cpp
@@ -172,8 +172,9 @@
 
 void handleMessage(cell_daemon &daemon, const worker_outcome_batch &batch, const clock_reading &now)
 {
-    if (daemon.leader) {
-        handleOutcomes(daemon.leader, batch, now);
+    // The term may end on the way, which resets daemon.leader.
+    if (const auto leader = daemon.leader) {
+        handleOutcomes(leader, batch, now);
     }
 }
 
--- a/packages/term/worker_dispatch.cpp
+++ b/packages/term/worker_dispatch.cpp
@@ -104,7 +104,8 @@
          done = std::get<order_handler>(entry.done),
          target = entry.call.target,
          limit = entry.call.limit](const result<std::string> &payload, const clock_reading &) mutable {
-            // The payload may be loaded at once, while the caller still uses the runs of the job, so the handler runs later.
+            // The payload may be loaded at once, while the caller still uses the runs of the job, so the handler runs
+            // later.
             const auto later = timedOnControlThread(leader->context, cell_metrics::startTime, done);
             if (!payload || leader->ended) {
                 later(result<order_reply>(makeError(error_kind::Unreachable, "payload not loaded")));
--- a/test/error/worker_executors.cpp
+++ b/test/error/worker_executors.cpp
@@ -2,6 +2,7 @@
 // runs twice or is given up because the daemon that called its worker was paused, cut off, killed or replaced.
 #include "../fixtures/cell_simulation.h"
 #include "connection/cell_keys.h"
+#include "process/cell_requests.h"
 #include "term/worker_dispatch.h"
 
 #include <catch2/catch.hpp>
@@ -378,3 +379,29 @@
     }
     CHECK(found == false);
 }
+
+TEST_CASE("a leader that learns of a later term from one of several outcomes ends its term")
+{
+    // The outcomes after the one that ended the term were handled without a leader (seed 1152 of fuzz/cell_model).
+    call_counts calls;
+    const auto cell = makeDelegatingCell(calls);
+    const std::size_t leader = *leaderOf(*cell);
+    const cell_leader &term = *cell->daemons[leader]->daemon->leader;
+    worker_outcome_batch batch;
+    batch.term = term.fence;
+    for (const auto &[number, call] : term.dispatch.open) {
+        worker_report report;
+        report.refusal = order_refusal::Fenced;
+        batch.outcomes.emplace_back();
+        batch.outcomes.back().number = number;
+        batch.outcomes.back().result = report;
+    }
+    REQUIRE(batch.outcomes.size() > 1);
+    post(cell->daemons[leader]->context->box, [&cell, leader, batch](const clock_reading &now) {
+        handleDaemonMessage(*cell->daemons[leader]->daemon, batch, now);
+    });
+    runFor(*cell, 3000);
+    submitJobs(*cell, 1, 4, "200");
+    CHECK(runUntil(*cell, 5000, [&] { return areCompleted(*cell, 1, 4); }));
+    CHECK(cell->violations.empty());
+}
