--- a/packages/base/crash_report.cpp
+++ b/packages/base/crash_report.cpp
@@ -11,7 +11,7 @@
 #include <string_view>
 
 /// Start and end of the executable's image, defined by the linker.
-extern "C" const char __executable_start; // NOLINT(bugprone-reserved-identifier)
+extern "C" const char __executable_start; // NOLINT(bugprone-reserved-identifier,readability-identifier-naming)
 extern "C" const char etext;
 
 namespace sesamespar {
