--- a/review/rig/worker.cpp
+++ b/review/rig/worker.cpp
@@ -42,7 +42,7 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        m_born = unixMilliseconds();
+        m_born = unixMilliseconds() + clockOffsetMs;
         m_begun = clock::now();
         m_sequence = 0;
         m_fence = 0;
@@ -83,7 +83,7 @@
         labels += " " + label;
     }
     m_record.write("worker " + m_kind.id + " starts again: labels" + labels + ", " + std::to_string(m_kind.millicores)
-                   + " millicores");
+                   + " millicores, time of day " + std::to_string(clockOffsetMs) + " ms off");
     startLife();
 }
 
--- a/review/rig/worker.h
+++ b/review/rig/worker.h
@@ -58,6 +58,7 @@
     /// Resets a share of the channels, first those with a start that is not answered yet.
     void resetChannels(double share);
 
+    std::atomic<int> clockOffsetMs = 0; ///< Of the time of day of its machine, which `born` shows.
     std::atomic<bool> shedding = false; ///< Answers starts with 503 and does nothing for them.
     started_hook onStarted; ///< Set before the daemons start.
     std::vector<task_start> starts();
