--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,7 +1,7 @@
 // A worker's channels are reset after it has begun a task and before its answer is sent, and for a moment it sheds
 // starts with 503. Counts the tasks of which two runs work at the same time.
-#include "../rig/cell.h"
-#include "../rig/worker.h"
+#include "../cell.h"
+#include "../worker.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,7 +3,7 @@
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-program="review/bin/case-$(basename "$folder")"
+program="review/$(basename "$folder")/program"
 [ -x "$program" ] && [ -x target/bin/sesamespard ] || exit 2
 temporary=$(mktemp -d) || exit 2
 timeout -k 2 118 "$program" "$temporary" "$folder/record.txt"
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,8 +1,8 @@
 // The store goes down while it handles a transaction with new jobs: the transaction is executed, its channel is reset
 // before the answer, and new calls get 503. Counts the jobs that run although all attempts to hand them in were
 // rejected.
-#include "../rig/cell.h"
-#include "../rig/worker.h"
+#include "../cell.h"
+#include "../worker.h"
 
 #include <cstdio>
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,13 +1,19 @@
 #!/usr/bin/env bash
-# Builds the stand-ins and the programs of the cases into review/bin.
+# Builds the stand-ins and the program of each case, review/N/program.
 set -euo pipefail
 cd "$(dirname "$0")"
-mkdir -p bin
-for source in rig/*.cpp; do
-    g++ -std=c++20 -O1 -Wall -Wextra -pthread -c "$source" -o "bin/$(basename "$source" .cpp).o" &
+objects=$(mktemp -d)
+trap 'rm -rf "$objects"' EXIT
+compile=(g++ -std=c++20 -O1 -Wall -Wextra -pthread)
+jobs=()
+for source in *.cpp; do
+    "${compile[@]}" -c "$source" -o "$objects/${source%.cpp}.o" &
+    jobs+=($!)
 done
-wait
-for case in [1-9]/case.cpp; do
-    g++ -std=c++20 -O1 -Wall -Wextra -pthread "$case" bin/*.o -o "bin/case-$(dirname "$case")" &
+for job in "${jobs[@]}"; do wait "$job"; done
+jobs=()
+for case in [1-5]/case.cpp; do
+    "${compile[@]}" "$case" "$objects"/*.o -o "$(dirname "$case")/program" &
+    jobs+=($!)
 done
-wait
+for job in "${jobs[@]}"; do wait "$job"; done
