Count late responses of the advisor and requests taken by a proxy

Cause: the logs of the incident do not show whether a request reached the daemon, how long the advisor took, or whether the response came late. Change: metrics advice_late and advice_proxied, event advice_late with the time of the advisor, correlation and waiting time in advice_overdue. Result: no logic changes; a late response shows its cause, and a missing one with a growing advice_proxied shows that only the way back is silent.

--- a/packages/connection/cell_metrics.h
+++ b/packages/connection/cell_metrics.h
@@ -37,6 +37,10 @@
 constexpr std::string_view adviceRequestsSent = "advice_questions";
 constexpr std::string_view adviceFailed = "advice_failed";
 constexpr std::string_view adviceOverdue = "advice_overdue";
+constexpr std::string_view adviceLate = "advice_late";
+
+// Counters of a daemon that calls the advisor for the leader.
+constexpr std::string_view adviceProxied = "advice_proxied";
 
 // Histograms, in milliseconds.
 constexpr std::string_view requestTime = "request_ms";
--- a/packages/connection/daemon_message.cpp
+++ b/packages/connection/daemon_message.cpp
@@ -37,6 +37,7 @@
 {
     writeCorrelation(writer, message.correlation);
     writeText(writer, "problem", message.problem);
+    writeNumber(writer, "advisorTime", message.advisorTime.count());
     writer.Key("good");
     writer.StartArray();
     for (const advised_worker &advised : message.answer.suitable) {
@@ -150,6 +151,7 @@
     advice_proxy_response message;
     message.correlation = correlationOf(object);
     message.problem = object.text("problem");
+    message.advisorTime = milliseconds(object.number("advisorTime", 0));
     const auto workers = object.list("good");
     for (std::size_t index = 0; index + 1 < workers.size(); index += 2) {
         if (workers[index].IsString() && workers[index + 1].IsString()) {
--- a/packages/connection/daemon_message.h
+++ b/packages/connection/daemon_message.h
@@ -26,6 +26,7 @@
 struct advice_proxy_response {
     correlation_id correlation;
     std::string problem; ///< Empty if the advisor answered.
+    milliseconds advisorTime{0}; ///< Duration of the sender's call to the advisor.
     advice_response answer;
 };
 
--- a/packages/process/cell_requests.cpp
+++ b/packages/process/cell_requests.cpp
@@ -137,12 +137,15 @@
 
 void handleMessage(cell_daemon &daemon, const advice_proxy_request &request, const clock_reading &)
 {
+    addCount(*daemon.context.counters, cell_metrics::adviceProxied);
+    const time_point began = std::chrono::steady_clock::now();
     daemon.context.advice.callAdvisor(
         request.request,
         request.limit,
-        [&daemon, to = request.answerTo, correlation = request.correlation](result<advice_response> answer) {
+        [&daemon, began, to = request.answerTo, correlation = request.correlation](result<advice_response> answer) {
             advice_proxy_response reply;
             reply.correlation = correlation;
+            reply.advisorTime = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - began);
             if (answer) {
                 reply.answer = std::move(answer.value());
             } else {
@@ -155,10 +158,7 @@
 void handleMessage(cell_daemon &daemon, const advice_proxy_response &answer, const clock_reading &now)
 {
     if (daemon.leader) {
-        const result<advice_response> outcome = answer.problem.empty()
-            ? result<advice_response>(answer.answer)
-            : result<advice_response>(makeError(error_kind::Unknown, answer.problem));
-        handleAdviceResponse(*daemon.leader, answer.correlation, outcome, now);
+        handleProxyResponse(*daemon.leader, answer, now);
     }
 }
 
--- a/packages/term/advice_dispatch.cpp
+++ b/packages/term/advice_dispatch.cpp
@@ -138,6 +138,21 @@
                         }));
 }
 
+void handleProxyResponse(cell_leader &leader, const advice_proxy_response &response, const clock_reading &now)
+{
+    if (!leader.ended && !leader.adviceRequests.contains(response.correlation)) {
+        addCount(*leader.context.counters, cell_metrics::adviceLate);
+        log_event("advice_late", log_level::Warning)
+            .with("correlation", response.correlation)
+            .with("advisor_ms", response.advisorTime.count())
+            .with("problem", response.problem);
+    }
+    const result<advice_response> outcome = response.problem.empty()
+        ? result<advice_response>(response.answer)
+        : result<advice_response>(makeError(error_kind::Unknown, response.problem));
+    handleAdviceResponse(leader, response.correlation, outcome, now);
+}
+
 void handleAdviceResponse(cell_leader &leader,
                           correlation_id correlation,
                           const result<advice_response> &response,
@@ -189,7 +204,9 @@
         log_event("advice_overdue", log_level::Warning)
             .with("job", open.request.step.job)
             .with("step", open.request.step.step)
-            .with("proxy", open.proxy);
+            .with("proxy", open.proxy)
+            .with("correlation", entry->first)
+            .with("waited_ms", std::chrono::duration_cast<milliseconds>(now.uptime - open.sentAt).count());
         closeAdviceRequest(leader, entry);
         onAdviceFailed(leader.state, open.request, now.uptime);
         leader.placementDue = true;
--- a/packages/term/advice_dispatch.h
+++ b/packages/term/advice_dispatch.h
@@ -13,6 +13,9 @@
 /// Sends a request to the daemon with the smallest backlog.
 void requestAdvice(const std::shared_ptr<cell_leader> &leader, advice_request request, const clock_reading &now);
 
+/// Handles the response of another daemon.
+void handleProxyResponse(cell_leader &leader, const advice_proxy_response &response, const clock_reading &now);
+
 /// Handles the response of another daemon or of the advisor itself.
 void handleAdviceResponse(cell_leader &leader,
                           correlation_id correlation,
