Reproduce steps without advice: silent links, and retries that add up over daemons

Cause: unknown for the users' run; two faults of the code show its symptom. (1) A link whose open connection stops passing data is used for good. (2) A request for advice goes to one daemon after the other, 600 ms each, and a response that arrives after that is dropped.

--- a/test/correctness/advice_proxies.cpp
+++ b/test/correctness/advice_proxies.cpp
@@ -1,5 +1,6 @@
 // Through which daemons the leader sends its requests to the advisor. Guards against requests that crowd on the first
-// daemons by name or on the leader, and against a daemon that attracts requests because its calls fail at once.
+// daemons by name or on the leader, against a daemon that attracts requests because its calls fail at once, and against
+// timeouts that add up over the daemons while a step waits (incident paguri-advice-overdue).
 #include "../fixtures/cell_simulation.h"
 
 #include <catch2/catch.hpp>
@@ -51,8 +52,93 @@
     return true;
 }
 
+/// Longest time that a step may wait for its advice: a job with nothing running for 3 s counts as lost.
+constexpr std::int64_t adviceLimit = 3000;
+
+/// Makes all daemons but the leader lose the messages from and to the others.
+void silenceOthers(simulated_cell &cell)
+{
+    const std::size_t leader = *leaderOf(cell);
+    for (std::size_t number = 0; number < cell.daemons.size(); ++number) {
+        cell.daemons[number]->peersUnreachable = number != leader;
+    }
+}
+
+/// Replaces the advisor of all daemons but one by a call that fails at once.
+void failOwnAdvisor(simulated_cell &cell, std::size_t daemon)
+{
+    cell.daemons[daemon]->context->advice.callAdvisor = [](const auto &, auto, auto done) {
+        done(makeError(error_kind::Unreachable, "connection refused"));
+    };
+}
+
+/// Submits a job to the leader and returns whether one of its tasks is started in time.
+bool startsInTime(simulated_cell &cell)
+{
+    const job_key key = makeJobKey(1);
+    submitJob(cell, *leaderOf(cell), key, makeOneStepJob(1, 1, "100"));
+    return runUntil(cell, adviceLimit, [&] { return cell.jobs.at(key).starts > 0; });
+}
+
 } // namespace
 
+TEST_CASE("a step gets its advice in time although no other daemon responds")
+{
+    const std::size_t daemons = GENERATE(2, 7, 97);
+    INFO(daemons << " daemons");
+    call_counts calls;
+    const auto cell = makeAdvisedCell(daemons, calls);
+    silenceOthers(*cell);
+    CHECK(startsInTime(*cell));
+    CHECK(cell->violations.empty());
+}
+
+TEST_CASE("a step gets its advice in time although one daemon only responds and the leader cannot reach the advisor")
+{
+    const std::size_t daemons = GENERATE(3, 7, 13);
+    INFO(daemons << " daemons");
+    call_counts calls;
+    const auto cell = makeAdvisedCell(daemons, calls);
+    const std::size_t leader = *leaderOf(*cell);
+    silenceOthers(*cell);
+    // The leader asks the daemons in turn, so that each position of the responding one is tried over all its values.
+    const std::size_t offset = 1 + GENERATE(0, 1, 5, 11) % (daemons - 1);
+    cell->daemons[(leader + offset) % daemons]->peersUnreachable = false;
+    failOwnAdvisor(*cell, leader);
+    CHECK(startsInTime(*cell));
+    CHECK(cell->violations.empty());
+}
+
+TEST_CASE("a response that arrives after its request was repeated is used")
+{
+    call_counts calls;
+    const auto cell = makeAdvisedCell(7, calls);
+    const std::size_t leader = *leaderOf(*cell);
+    failOwnAdvisor(*cell, leader);
+    for (const auto &daemon : cell->daemons) {
+        daemon->peerDelay = 500;
+    }
+    CHECK(startsInTime(*cell));
+    CHECK(cell->violations.empty());
+}
+
+TEST_CASE("a daemon that responds again gets requests again at once")
+{
+    call_counts calls;
+    const auto cell = makeAdvisedCell(2, calls);
+    const std::size_t leader = *leaderOf(*cell);
+    const std::size_t other = 1 - leader;
+    cell->daemons[other]->peerDelay = 800;
+    submitJob(*cell, leader, makeJobKey(1), makeOneStepJob(1, 1, "100"));
+    CHECK(runUntil(*cell, 2000, [&] { return storedPhase(*cell, makeJobKey(1)) == job_phase::Completed; }));
+    runFor(*cell, 1000);
+    cell->daemons[other]->peerDelay = 0;
+    const std::size_t before = calls[other];
+    submitJob(*cell, leader, makeJobKey(2), makeOneStepJob(1, 1, "100"));
+    CHECK(runUntil(*cell, 1000, [&] { return storedPhase(*cell, makeJobKey(2)) == job_phase::Completed; }));
+    CHECK(calls[other] == before + 1);
+}
+
 TEST_CASE("requests one after the other spread over the daemons other than the leader")
 {
     constexpr std::size_t daemons = 8;
--- a/test/correctness/standin_proxy.cpp
+++ b/test/correctness/standin_proxy.cpp
@@ -91,6 +91,38 @@
     CHECK(receive(pair.clientSocket, 6).empty());
 }
 
+TEST_CASE("a silenced direction passes nothing for good, and the connection stays open")
+{
+    linked_pair pair;
+    link_fault fault;
+    fault.silenceForward = true;
+    setLinkFault(*pair.proxy, "link", fault);
+    send(pair.clientSocket, "question");
+    CHECK_FALSE(hasData(pair.targetSocket, 100));
+    send(pair.targetSocket, "answer");
+    CHECK(receive(pair.clientSocket, 6) == "answer");
+    setLinkFault(*pair.proxy, "link", {});
+    CHECK_FALSE(hasData(pair.targetSocket, 100));
+}
+
+TEST_CASE("connections that open after others were silenced pass data")
+{
+    linked_pair pair;
+    link_fault fault;
+    fault.silenceForward = true;
+    fault.silenceBackward = true;
+    setLinkFault(*pair.proxy, "link", fault);
+    const auto to = pair.clientSocket.remote_endpoint();
+    tcp::socket laterClient(pair.context);
+    tcp::socket laterTarget(pair.context);
+    laterClient.connect(to);
+    pair.target.accept(laterTarget);
+    send(laterClient, "question");
+    CHECK(receive(laterTarget, 8) == "question");
+    send(laterTarget, "answer");
+    CHECK(receive(laterClient, 6) == "answer");
+}
+
 TEST_CASE("a reset closes open connections")
 {
     linked_pair pair;
--- a/test/standins/link_proxy.cpp
+++ b/test/standins/link_proxy.cpp
@@ -30,6 +30,8 @@
     tcp::socket clientSocket; ///< Connection to the client.
     tcp::socket targetSocket; ///< Connection to the target.
     std::shared_ptr<proxied_link> link;
+    bool silentForward = false; ///< Passes no more data to the target.
+    bool silentBackward = false;
 };
 
 using connection_ptr = std::shared_ptr<proxied_connection>;
@@ -74,8 +76,10 @@
 
 bool isHeld(const pump &direction)
 {
-    const link_fault &fault = direction.connection->link->fault;
-    return direction.forward ? fault.holdForward : fault.holdBackward;
+    const proxied_connection &connection = *direction.connection;
+    const link_fault &fault = connection.link->fault;
+    return direction.forward ? fault.holdForward || connection.silentForward
+                             : fault.holdBackward || connection.silentBackward;
 }
 
 void readSome(const pump_ptr &direction);
@@ -175,6 +179,10 @@
             closeConnection(connection);
         }
     }
+    for (const connection_ptr &connection : link.connections) {
+        connection->silentForward = connection->silentForward || fault.silenceForward;
+        connection->silentBackward = connection->silentBackward || fault.silenceBackward;
+    }
     std::vector<std::function<void()>> held;
     held.swap(link.held);
     for (const auto &resume : held) {
--- a/test/standins/link_proxy.h
+++ b/test/standins/link_proxy.h
@@ -17,6 +17,10 @@
     bool holdBackward = false; ///< The same for data to the client.
     bool reset = false; ///< Closes all open connections, and new ones immediately.
     bool dropAnswers = false; ///< Forwards requests, but closes the connection when the response arrives.
+    /// The connections that are open when the fault is set pass no more data to the target, for good, and are not
+    /// closed. New connections are not affected.
+    bool silenceForward = false;
+    bool silenceBackward = false; ///< The same for data to the client.
 };
 
 /// All links, and the thread that serves them.
