Replace the connection of a link that stopped passing data

Callers saw jobs that did not start for 3 s and more: requests for advice went out on links between daemons on which nothing arrived any more. Cause: nng's push and pull sockets carry data one way. Neither side can see that an open connection passes nothing, no keep-alive or TCP_USER_TIMEOUT can be set on them, and packets are queued on the dead connection for good. Change: links over TCP with Boost.Asio, which the HTTP library brings. The receiver acknowledges within 150 ms; a sender whose data stays unacknowledged for 500 ms opens a new connection and sends what was not received again, so that packets arrive once and in order. A receiver that has restarted gets nothing that its predecessor may have received. A peer learns from the hello that its own connection may be silent as well. Peers that cannot be reached are reported once for all that rides on the link. nng is no longer used: its nng_close hung in four cases of correctness/peer_links.

--- a/apps/sesamespard/main.cpp
+++ b/apps/sesamespard/main.cpp
@@ -149,7 +149,7 @@
     runControlLoop(*state, queue, connections);
 
     // All responses have been written or the drain limit has passed, and no state has to be saved. Exits without
-    // stopping the threads of the libraries, because nng_close can hang (see KNOWN-RED.txt).
+    // stopping the threads of the HTTP library, whose listeners can hang when they are closed.
     signalThread.detach();
     google::FlushLogFiles(google::GLOG_INFO);
     std::cout.flush();
--- a/packages/connection/cell_metrics.h
+++ b/packages/connection/cell_metrics.h
@@ -42,6 +42,13 @@
 // Counters of a daemon that calls the advisor for the leader.
 constexpr std::string_view adviceProxied = "advice_proxied";
 
+// Links to the other daemons.
+constexpr std::string_view linksSilent = "link_connections_silent";
+constexpr std::string_view linksLost = "link_connections_lost";
+constexpr std::string_view packetsResent = "link_packets_resent";
+constexpr std::string_view packetsDropped = "link_packets_dropped";
+constexpr std::string_view unacknowledgedTime = "link_unacknowledged_ms";
+
 // Histograms, in milliseconds.
 constexpr std::string_view requestTime = "request_ms";
 constexpr std::string_view waitTime = "wait_ms";
--- a/packages/connection/packet_links.cpp
+++ b/packages/connection/packet_links.cpp
@@ -2,39 +2,32 @@
 
 #include "base/error_boundary.h"
 #include "base/log.h"
+#include "connection/incoming_links.h"
+#include "connection/outgoing_link.h"
 
-#include <nng/nng.h>
-#include <nng/protocol/pipeline0/pull.h>
-#include <nng/protocol/pipeline0/push.h>
-
+#include <algorithm>
 #include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
 #include <mutex>
+#include <random>
 #include <string>
+#include <thread>
 #include <unordered_map>
 
 namespace sesamespar {
 
-namespace {
-
-/// Packets that are queued on one link while its peer is slow or unreachable.
-constexpr int sendBufferPackets = 256;
-constexpr nng_duration minReconnectMs = 100;
-constexpr nng_duration maxReconnectMs = 2000;
-
-} // namespace
-
 struct packet_links {
-    packet_sink sink;
-    nng_socket pull = NNG_SOCKET_INITIALIZER;
-    nng_aio *receive = nullptr;
-    address bound;
-    std::mutex mutex;
-    std::unordered_map<address, nng_socket> push;
+    boost::asio::io_context context{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{context.get_executor()};
+    incoming_links incoming{context};
+    link_environment environment;
+    mutable std::mutex mutex;
+    std::unordered_map<address, std::shared_ptr<outgoing_link>> outgoing; ///< Guarded by `mutex`.
     std::atomic<bool> stopped = false;
     std::atomic<std::uint64_t> bytesSent = 0;
-    std::atomic<std::uint64_t> bytesReceived = 0;
     std::atomic<std::uint64_t> packetsSent = 0;
     std::atomic<std::uint64_t> packetsDropped = 0;
+    std::thread thread;
 
     packet_links() = default;
     packet_links(const packet_links &) = delete;
@@ -42,86 +35,31 @@
     ~packet_links()
     {
         stopPacketLinks(*this);
-        nng_aio_free(receive);
     }
 };
 
 namespace {
 
-void handlePacket(packet_links &links, nng_msg *packet)
+std::shared_ptr<outgoing_link> findLink(packet_links &links, const address &to)
 {
-    links.bytesReceived += nng_msg_len(packet);
-    runContained("packet", {}, [&] {
-        links.sink({static_cast<const char *>(nng_msg_body(packet)), nng_msg_len(packet)});
-    });
-    nng_msg_free(packet);
-}
-
-void handleReceive(void *context)
-{
-    auto &links = *static_cast<packet_links *>(context);
-    const int failure = nng_aio_result(links.receive);
-    if (failure == 0) {
-        handlePacket(links, nng_aio_get_msg(links.receive));
-    } else if (failure == NNG_ECLOSED || failure == NNG_ECANCELED || links.stopped) {
-        return;
-    }
-    nng_recv_aio(links.pull, links.receive);
-}
-
-/// Keeps the first error of a sequence of nng calls.
-struct nng_status {
-    int failure = 0;
-
-    nng_status &operator<<(int returned)
-    {
-        if (failure == 0) {
-            failure = returned;
-        }
-        return *this;
-    }
-};
-
-int listenOn(packet_links &links, const std::string &listenAddress)
-{
-    nng_status status;
-    nng_listener listener = NNG_LISTENER_INITIALIZER;
-    const std::string url = "tcp://" + listenAddress;
-    status << nng_pull0_open(&links.pull) << nng_socket_set_size(links.pull, NNG_OPT_RECVMAXSZ, maxPacketBytes)
-           << nng_aio_alloc(&links.receive, handleReceive, &links);
-    if (status.failure == 0) {
-        status << nng_listen(links.pull, url.c_str(), &listener, 0);
-    }
-    int port = 0;
-    if (status.failure == 0) {
-        status << nng_listener_get_int(listener, NNG_OPT_TCP_BOUND_PORT, &port);
-    }
-    links.bound.value = listenAddress.substr(0, listenAddress.rfind(':') + 1) + std::to_string(port);
-    return status.failure;
+    const std::lock_guard lock(links.mutex);
+    const auto found = links.outgoing.find(to);
+    return found == links.outgoing.end() ? nullptr : found->second;
 }
 
-int dial(packet_links &links, const address &to)
+/// Returns the link to an address, and makes it on the first call.
+result<std::shared_ptr<outgoing_link>> linkTo(packet_links &links, const address &to)
 {
-    nng_socket socket = NNG_SOCKET_INITIALIZER;
-    nng_status status;
-    status << nng_push0_open(&socket);
-    if (status.failure != 0) {
-        return status.failure;
+    const std::lock_guard lock(links.mutex);
+    const auto found = links.outgoing.find(to);
+    if (found != links.outgoing.end()) {
+        return found->second;
     }
-    links.push.emplace(to, socket);
-    const std::string url = "tcp://" + to.value;
-    status << nng_socket_set_int(socket, NNG_OPT_SENDBUF, sendBufferPackets)
-           << nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, minReconnectMs)
-           << nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, maxReconnectMs);
-    if (status.failure == 0) {
-        status << nng_dial(socket, url.c_str(), nullptr, NNG_FLAG_NONBLOCK);
+    auto made = makeOutgoingLink(links.context, links.environment, to);
+    if (made) {
+        links.outgoing.emplace(to, made.value());
     }
-    return status.failure;
-}
-
-error linkError(const address &where, int failure)
-{
-    return makeError(error_kind::InvalidInput, "peer address " + where.value + ": " + nng_strerror(failure));
+    return made;
 }
 
 bool dropPacket(packet_links &links, const address &to, const char *reason)
@@ -133,35 +71,51 @@
     return false;
 }
 
+/// Serves all connections until the links are stopped. An exception ends only the event whose handling it left.
+void serveLinks(packet_links &links)
+{
+    bool served = false;
+    while (!served) {
+        served = runContained("link event", {}, [&links] { links.context.run(); });
+    }
+}
+
 } // namespace
 
-result<std::shared_ptr<packet_links>> startPacketLinks(const address &listenAt, packet_sink sink)
+result<std::shared_ptr<packet_links>>
+startPacketLinks(const address &listenAt, packet_sink sink, reachability_sink onReachability)
 {
     auto links = std::make_shared<packet_links>();
-    links->sink = std::move(sink);
-    const int failure = listenOn(*links, listenAt.value);
-    if (failure != 0) {
-        return linkError(listenAt, failure);
-    }
-    nng_recv_aio(links->pull, links->receive);
+    std::random_device entropy;
+    links->incoming.self.value = (std::uint64_t(entropy()) << 32U) | entropy();
+    links->incoming.sink = std::move(sink);
+    links->incoming.onSilence = [plain = links.get()](const address &from) {
+        if (const auto link = findLink(*plain, from)) {
+            suspectLink(*link);
+        }
+    };
+    links->environment.onReachability = std::move(onReachability);
+    const auto bound = listenForLinks(links->incoming, listenAt);
+    if (!bound) {
+        return bound.error();
+    }
+    links->environment.from = bound.value();
+    links->thread = std::thread([plain = links.get()] { serveLinks(*plain); });
     return links;
 }
 
 address boundPacketAddress(const packet_links &links)
 {
-    return links.bound;
+    return links.environment.from;
 }
 
 result<void> dialPackets(packet_links &links, const address &to)
 {
-    const std::lock_guard lock(links.mutex);
-    if (links.push.contains(to)) {
-        return boost::outcome_v2::success();
-    }
-    const int failure = dial(links, to);
-    if (failure != 0) {
-        return linkError(to, failure);
+    const auto link = linkTo(links, to);
+    if (!link) {
+        return link.error();
     }
+    dialLink(*link.value());
     return boost::outcome_v2::success();
 }
 
@@ -170,22 +124,39 @@
     if (bytes.size() > maxPacketBytes) {
         return dropPacket(links, to, "packet too large");
     }
-    if (const auto dialled = dialPackets(links, to); !dialled) {
-        return dropPacket(links, to, dialled.error().message.c_str());
+    const auto link = linkTo(links, to);
+    if (!link) {
+        return dropPacket(links, to, link.error().message.c_str());
     }
-    const std::lock_guard lock(links.mutex);
-    std::string copy(bytes);
-    if (nng_send(links.push.at(to), copy.data(), copy.size(), NNG_FLAG_NONBLOCK) != 0) {
+    if (links.stopped || !queuePacket(*link.value(), std::string(bytes))) {
         return dropPacket(links, to, "link full or closed");
     }
     ++links.packetsSent;
-    links.bytesSent += copy.size();
+    links.bytesSent += bytes.size();
     return true;
 }
 
 packet_traffic packetTraffic(const packet_links &links)
 {
-    return {links.bytesSent, links.bytesReceived, links.packetsSent, links.packetsDropped};
+    packet_traffic traffic;
+    traffic.bytesSent = links.bytesSent;
+    traffic.bytesReceived = links.incoming.bytesReceived;
+    traffic.packetsSent = links.packetsSent;
+    traffic.packetsDropped = links.packetsDropped + links.environment.packetsDropped;
+    traffic.packetsResent = links.environment.packetsResent;
+    traffic.connectionsSilent = links.environment.connectionsSilent;
+    traffic.connectionsLost = links.environment.connectionsLost;
+    return traffic;
+}
+
+milliseconds longestUnacknowledged(packet_links &links)
+{
+    const std::lock_guard lock(links.mutex);
+    milliseconds longest{0};
+    for (const auto &[to, link] : links.outgoing) {
+        longest = std::max(longest, unacknowledgedTime(*link));
+    }
+    return longest;
 }
 
 void stopPacketLinks(packet_links &links)
@@ -193,15 +164,17 @@
     if (links.stopped.exchange(true)) {
         return;
     }
-    for (const auto &link : links.push) {
-        nng_close(link.second);
+    links.context.stop();
+    if (links.thread.joinable()) {
+        links.thread.join();
     }
-    // nng_close of nng 1.5.2 hangs on the pull socket in about half of the runs with a message in transit; see
-    // KNOWN-RED.txt. Neither stopping the aio first, nor closing the listener first, nor a blocking receive avoids it.
-    if (links.receive != nullptr) {
-        nng_aio_stop(links.receive);
+    // The sockets are closed by their owners; nothing runs on the context any more.
+    closeIncomingLinks(links.incoming);
+    boost::system::error_code ignored;
+    const std::lock_guard lock(links.mutex);
+    for (const auto &[to, link] : links.outgoing) {
+        link->socket.close(ignored);
     }
-    nng_close(links.pull);
 }
 
 } // namespace sesamespar
--- a/packages/connection/peer_links.h
+++ b/packages/connection/peer_links.h
@@ -1,4 +1,4 @@
-// Message links to the other daemons over nng: one listening pull socket, and one push socket to each peer.
+// Message links to the other daemons: one packet link to each peer, and a listener for those of the peers.
 // Sending never blocks; each link queues a bounded number of messages and drops new messages when it is full.
 #pragma once
 
--- a/test/correctness/peer_links.cpp
+++ b/test/correctness/peer_links.cpp
@@ -3,11 +3,10 @@
 #include "connection/peer_links.h"
 
 #include "connection/codec.h"
+#include "connection/link_frames.h"
+#include "harness/port_reservation.h"
 #include "raw_http.h"
 
-#include <nng/nng.h>
-#include <nng/protocol/pipeline0/push.h>
-
 #include <catch2/catch.hpp>
 #include <mutex>
 #include <vector>
@@ -68,13 +67,36 @@
 {
 }
 
+/// Starts links and fails the test with the reason if that is not possible.
+std::shared_ptr<peer_links> startLinks(const daemon_settings &settings, peer_sink sink)
+{
+    auto links = startPeerLinks(settings, std::move(sink));
+    INFO((links ? std::string() : links.error().message));
+    REQUIRE(links);
+    return links.value();
+}
+
+/// Begins the protocol of a link on a plain connection, which can then send what no daemon sends.
+void startRawLink(raw_caller &link)
+{
+    REQUIRE(link.send(encodeHello({link_id(1), address("127.0.0.1:1"), false})));
+    REQUIRE(link.send(encodeFirstNumber(packet_number(1))));
+}
+
+std::string makeFrame(std::string_view packet)
+{
+    std::string frame;
+    appendFrame(frame, packet);
+    return frame;
+}
+
 } // namespace
 
 TEST_CASE("messages arrive in order and complete")
 {
     received_messages received;
-    const auto receiver = startPeerLinks(settingsOf("b"), received.sink()).value();
-    const auto sender = startPeerLinks(senderSettings(boundPeerAddress(*receiver)), ignore).value();
+    const auto receiver = startLinks(settingsOf("b"), received.sink());
+    const auto sender = startLinks(senderSettings(boundPeerAddress(*receiver)), ignore);
     const std::string text(maxConfigTextBytes, 'x');
     sendPeer(*sender, receiverName, makeNumbered(0, text));
     for (std::uint64_t number = 1; number < 200; ++number) {
@@ -94,13 +116,10 @@
 
 TEST_CASE("a peer that starts late receives the queued messages, up to the bound of the link")
 {
-    address receiverAddress;
-    {
-        const auto early = startPeerLinks(settingsOf("b"), ignore).value();
-        receiverAddress = boundPeerAddress(*early);
-        stopPeerLinks(*early);
-    }
-    const auto sender = startPeerLinks(senderSettings(receiverAddress), ignore).value();
+    // Without the reservation, another process may get the port before the receiver starts.
+    const harness::port_reservation port;
+    const address receiverAddress = port.reservedAddress();
+    const auto sender = startLinks(senderSettings(receiverAddress), ignore);
     constexpr std::uint64_t offered = 2000;
     for (std::uint64_t number = 0; number < offered; ++number) {
         sendPeer(*sender, receiverName, makeNumbered(number));
@@ -110,7 +129,7 @@
     CHECK(traffic.packets.packetsSent <= 256);
 
     received_messages received;
-    const auto late = startPeerLinks(settingsOf("b", receiverAddress.value), received.sink()).value();
+    const auto late = startLinks(settingsOf("b", receiverAddress.value), received.sink());
     CHECK(waitUntil([&] { return received.count() == traffic.packets.packetsSent; }));
     stopPeerLinks(*late);
     stopPeerLinks(*sender);
@@ -118,16 +137,17 @@
 
 TEST_CASE("a link reconnects after its peer was restarted")
 {
+    const harness::port_reservation port;
+    const address receiverAddress = port.reservedAddress();
     received_messages received;
-    auto receiver = startPeerLinks(settingsOf("b"), received.sink()).value();
-    const address receiverAddress = boundPeerAddress(*receiver);
-    const auto sender = startPeerLinks(senderSettings(receiverAddress), ignore).value();
+    auto receiver = startLinks(settingsOf("b", receiverAddress.value), received.sink());
+    const auto sender = startLinks(senderSettings(receiverAddress), ignore);
     sendPeer(*sender, receiverName, makeNumbered(1));
     REQUIRE(waitUntil([&] { return received.count() == 1; }));
     stopPeerLinks(*receiver);
 
     received_messages receivedAfterRestart;
-    receiver = startPeerLinks(settingsOf("b", receiverAddress.value), receivedAfterRestart.sink()).value();
+    receiver = startLinks(settingsOf("b", receiverAddress.value), receivedAfterRestart.sink());
     // A message may be lost with the old connection, so the test sends it again, as the daemons' protocol does.
     CHECK(waitUntil([&] {
         sendPeer(*sender, receiverName, makeNumbered(2));
@@ -141,21 +161,24 @@
 TEST_CASE("malformed and oversized messages are counted and do not disturb the link of another sender")
 {
     received_messages received;
-    const auto receiver = startPeerLinks(settingsOf("b"), received.sink()).value();
+    const auto receiver = startLinks(settingsOf("b"), received.sink());
     const address receiverAddress = boundPeerAddress(*receiver);
-    const auto sender = startPeerLinks(senderSettings(receiverAddress), ignore).value();
+    const auto sender = startLinks(senderSettings(receiverAddress), ignore);
 
-    nng_socket rawSocket = NNG_SOCKET_INITIALIZER;
-    REQUIRE(nng_push0_open(&rawSocket) == 0);
-    REQUIRE(nng_dial(rawSocket, ("tcp://" + receiverAddress.value).c_str(), nullptr, 0) == 0);
-    std::string garbage = "garbage";
-    CHECK(nng_send(rawSocket, garbage.data(), garbage.size(), 0) == 0);
+    raw_caller rawLink(receiverAddress);
+    startRawLink(rawLink);
+    CHECK(rawLink.send(makeFrame("garbage")));
     std::string otherVersion = encodePeerMessage(makeNumbered(1));
     otherVersion[1] = 2;
-    CHECK(nng_send(rawSocket, otherVersion.data(), otherVersion.size(), 0) == 0);
+    CHECK(rawLink.send(makeFrame(otherVersion)));
     CHECK(waitUntil([&] { return peerTraffic(*receiver).messagesMalformed == 2; }));
-    std::string oversized(maxPeerMessageBytes + 1, 'x');
-    CHECK(nng_send(rawSocket, oversized.data(), oversized.size(), 0) == 0);
+    const std::string oversized(maxPacketBytes + 1, 'x');
+    rawLink.send(makeFrame(oversized));
+    // The receiver ends the connection of the oversized packet.
+    rawLink.readAll();
+    raw_caller otherProtocol(receiverAddress);
+    otherProtocol.send("GET / HTTP/1.1\r\n\r\n");
+    CHECK(otherProtocol.readAll().empty());
 
     sendPeer(*sender, receiverName, makeNumbered(1, oversized));
     CHECK(peerTraffic(*sender).messagesDropped == 1);
@@ -164,7 +187,6 @@
     sendPeer(*sender, receiverName, makeNumbered(7));
     REQUIRE(waitUntil([&] { return received.count() == 1; }));
     CHECK(numberOf(received.messages.front()) == 7);
-    nng_close(rawSocket);
     stopPeerLinks(*receiver);
     stopPeerLinks(*sender);
     CHECK(peerTraffic(*receiver).messagesMalformed == 2);
@@ -174,10 +196,9 @@
 {
     std::mutex receiverMutex;
     std::unique_lock receiverLock(receiverMutex);
-    const auto receiver = startPeerLinks(settingsOf("b"), [&](const peer_message &) {
-                              const std::lock_guard wait(receiverMutex);
-                          }).value();
-    const auto sender = startPeerLinks(senderSettings(boundPeerAddress(*receiver)), ignore).value();
+    const auto receiver =
+        startLinks(settingsOf("b"), [&](const peer_message &) { const std::lock_guard wait(receiverMutex); });
+    const auto sender = startLinks(senderSettings(boundPeerAddress(*receiver)), ignore);
     // More than the buffers of the kernel and of both sockets can hold.
     const std::string text(maxConfigTextBytes, 'x');
     for (std::uint64_t number = 0; number < 1000; ++number) {
@@ -195,11 +216,11 @@
         std::atomic<bool> stopped = false;
         std::atomic<int> late = 0;
         std::atomic<int> calls = 0;
-        const auto receiver = startPeerLinks(settingsOf("b"), [&](const peer_message &) {
-                                  ++calls;
-                                  late += stopped ? 1 : 0;
-                              }).value();
-        const auto sender = startPeerLinks(senderSettings(boundPeerAddress(*receiver)), ignore).value();
+        const auto receiver = startLinks(settingsOf("b"), [&](const peer_message &) {
+            ++calls;
+            late += stopped ? 1 : 0;
+        });
+        const auto sender = startLinks(senderSettings(boundPeerAddress(*receiver)), ignore);
         for (std::uint64_t number = 0; number < 200; ++number) {
             sendPeer(*sender, receiverName, makeNumbered(number));
         }
--- a/test/harness/port_reservation.h
+++ b/test/harness/port_reservation.h
@@ -6,7 +6,7 @@
 namespace sesamespar::harness {
 
 /// A port chosen by the kernel, bound but not listening, so that the kernel assigns it to no other process. A server
-/// that sets SO_REUSEADDR, as nng does, can listen on the port during the reservation.
+/// that sets SO_REUSEADDR, as the links between daemons do, can listen on the port during the reservation.
 class port_reservation
 {
 public:
