Send a request for advice through more daemons while none responds

Callers saw jobs that did not start for 3 s: the leader sent the request of a step to five daemons, one after the other, and gave each up after 600 ms. Cause: timeouts add up along the list of daemons, at 97 daemons to a minute; a response that arrives after its own timeout is dropped, and its daemon is avoided for 3 s although it responds. Change: an overdue request stays open and is sent again, through the leader itself and then through twice as many daemons each time; the first response counts, a late one too. A daemon that responds late is used again at once. The links report an unreachable daemon: its requests are repeated at once, and its polls of workers move to other executors.

--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -92,6 +92,9 @@
 {
     if (daemon.leader) {
         setDaemons(*daemon.leader, daemon.daemons, now);
+        for (const address &peer : daemon.unreachablePeers) {
+            setReachable(*daemon.leader, peer, false, now);
+        }
     }
 }
 
@@ -274,6 +277,18 @@
     }
 }
 
+void setPeerReachable(cell_daemon &daemon, const address &peer, bool reachable, const clock_reading &now)
+{
+    if (reachable) {
+        daemon.unreachablePeers.erase(peer);
+    } else {
+        daemon.unreachablePeers.insert(peer);
+    }
+    if (daemon.leader) {
+        setReachable(*daemon.leader, peer, reachable, now);
+    }
+}
+
 void settleCellDaemon(cell_daemon &daemon, const clock_reading &now)
 {
     settleIntake(daemon.intake, now);
--- a/packages/process/cell_daemon.h
+++ b/packages/process/cell_daemon.h
@@ -11,6 +11,7 @@
 #include "term/cell_leader.h"
 
 #include <atomic>
+#include <set>
 
 namespace sesamespar {
 
@@ -35,6 +36,7 @@
     std::optional<daemon_id> leaderName; ///< Holder of the leader's key, if known.
     cell_load load;
     std::map<daemon_id, address> daemons;
+    std::set<address> unreachablePeers; ///< Addresses whose links pass nothing.
 
     store_lease registration;
     timer registrationTimer;
@@ -57,6 +59,9 @@
 /// the next one.
 void abandonTerm(cell_daemon &daemon, const char *reason);
 
+/// Notes that the link to a peer passes nothing, or that it passes data again.
+void setPeerReachable(cell_daemon &daemon, const address &peer, bool reachable, const clock_reading &now);
+
 /// Runs after each batch of events: lets the job intake and the leader act on them and updates `ready`.
 void settleCellDaemon(cell_daemon &daemon, const clock_reading &now);
 
--- a/packages/term/advice_dispatch.h
+++ b/packages/term/advice_dispatch.h
@@ -10,7 +10,8 @@
 /// Number of usable daemons without a request in progress.
 advice_capacity adviceCapacity(const cell_leader &leader, const clock_reading &now);
 
-/// Sends a request to the daemon with the smallest backlog.
+/// Sends a request through the daemon with the smallest backlog. It is repeated through more daemons while none
+/// responds.
 void requestAdvice(const std::shared_ptr<cell_leader> &leader, advice_request request, const clock_reading &now);
 
 /// Handles the response of another daemon.
@@ -22,7 +23,10 @@
                           const result<advice_response> &response,
                           const clock_reading &now);
 
-/// Abandons requests whose response is overdue.
+/// Repeats requests whose responses are overdue, and gives those up that were repeated often.
 void expireAdviceRequests(cell_leader &leader, const clock_reading &now);
 
+/// Notes whether the daemon at an address can be reached. Requests that wait for an unreachable one are repeated.
+void setProxyReachable(cell_leader &leader, const address &at, bool reachable, const clock_reading &now);
+
 } // namespace sesamespar
--- a/packages/term/cell_leader.cpp
+++ b/packages/term/cell_leader.cpp
@@ -170,4 +170,15 @@
     }
 }
 
+void setReachable(cell_leader &leader, const address &at, bool reachable, const clock_reading &now)
+{
+    if (leader.ended) {
+        return;
+    }
+    setProxyReachable(leader, at, reachable, now);
+    if (!reachable) {
+        suspendExecutorAt(leader, at, now);
+    }
+}
+
 } // namespace sesamespar
--- a/packages/term/cell_leader.h
+++ b/packages/term/cell_leader.h
@@ -3,6 +3,7 @@
 // daemon takes over, when this daemon receives a stop request, or with the process.
 #pragma once
 
+#include "base/strong_value.h"
 #include "connection/cell_context.h"
 #include "connection/store_mirror.h"
 #include "request/cell_load.h"
@@ -27,17 +28,33 @@
 struct advice_proxy {
     address at; ///< Empty for the leader itself.
     double backlogMs = 0; ///< Expected time of the advisor for the unanswered requests of this proxy.
-    time_point avoidedUntil; ///< In uptime; no requests before.
+    time_point avoidedUntil; ///< In uptime; no requests before, unless it responds.
+    bool reachable = true; ///< False while the link to the daemon passes nothing.
 };
 
-/// A request that was sent and has no response yet.
+/// A request to the advisor without a response yet. It is sent through one proxy, and through more while none responds.
 struct open_advice_request {
     advice_request request;
-    daemon_id proxy;
     double costMs = 0; ///< Expected time of the advisor.
     bool isLong = false; ///< See takesLong of job_placement.h.
+    unsigned rounds = 0; ///< Number of times it was sent, through one or more proxies each time.
+    std::size_t openAttempts = 0;
+    std::vector<daemon_id> tried; ///< Proxies, in the order of the attempts.
+    time_point dueAt; ///< In uptime; it is repeated afterwards.
+};
+
+/// Identifies an open request within a term.
+using advice_request_number = strong_value<struct advice_request_number_tag, std::uint64_t>;
+
+/// A request that was sent through one proxy. It outlives the request, so that a late response still shows that the
+/// proxy responds.
+struct advice_attempt {
+    advice_request_number request;
+    daemon_id proxy;
+    double costMs = 0; ///< Part of the proxy's backlog.
     time_point sentAt; ///< In uptime.
     time_point dueAt; ///< In uptime; the response is overdue afterwards.
+    bool overdue = false;
 };
 
 /// A final job whose progress the store keeps for status queries of callers.
@@ -83,7 +100,9 @@
     std::map<worker_id, worker_session> sessions;
     worker_dispatch dispatch;
     std::map<daemon_id, advice_proxy> proxies;
-    std::map<correlation_id, open_advice_request> adviceRequests;
+    std::map<advice_request_number, open_advice_request> adviceRequests;
+    std::map<correlation_id, advice_attempt> adviceAttempts;
+    advice_request_number lastAdviceRequest;
 
     cell_load load;
     bool loadWriting = false;
@@ -114,4 +133,8 @@
 /// Sets the daemons that serve as advice proxies, besides the leader itself, and as executors.
 void setDaemons(cell_leader &leader, const std::map<daemon_id, address> &daemons, const clock_reading &now);
 
+/// Notes that the link to a daemon passes nothing, or that it passes data again. What waits for an unreachable daemon
+/// is given to others at once.
+void setReachable(cell_leader &leader, const address &at, bool reachable, const clock_reading &now);
+
 } // namespace sesamespar
--- a/packages/term/worker_dispatch.cpp
+++ b/packages/term/worker_dispatch.cpp
@@ -382,6 +382,15 @@
     }
 }
 
+void suspendExecutorAt(cell_leader &leader, const address &at, const clock_reading &now)
+{
+    for (auto &[name, executor] : leader.dispatch.executors) {
+        if (executor.at == at && executor.permission) {
+            suspendExecutor(leader.shared_from_this(), name, executor, "unreachable", now);
+        }
+    }
+}
+
 void handleOutcomes(const std::shared_ptr<cell_leader> &leader,
                     const worker_outcome_batch &batch,
                     const clock_reading &now)
--- a/packages/term/worker_dispatch.h
+++ b/packages/term/worker_dispatch.h
@@ -85,6 +85,9 @@
 /// Sets the daemons that serve as executors: all but the leader itself.
 void setExecutors(cell_leader &leader, const std::map<daemon_id, address> &daemons, const clock_reading &now);
 
+/// Stops using the executor at an address until it answers again, and moves its polls to others.
+void suspendExecutorAt(cell_leader &leader, const address &at, const clock_reading &now);
+
 /// Handles outcomes from an executor. Ends the term if the executor has received a higher fencing token.
 void handleOutcomes(const std::shared_ptr<cell_leader> &leader,
                     const worker_outcome_batch &batch,
