Test whole daemons whose open connections go silent

Cause: the tests reset and cut connections, but none made open connections pass nothing while new ones work.

--- a/test/standins/standin_proxy.cpp
+++ b/test/standins/standin_proxy.cpp
@@ -2,8 +2,9 @@
 //
 // Tests control it on the port that it prints:
 // PUT /test/link?name=NAME&target=HOST:PORT adds a link and returns its address as plain text.
-// PUT /test/fault?name=PATTERN&delay_ms=N&cut=none|forward|backward|both&reset=0|1&drop_answers=0|1 sets the faults of
-// links; an absent parameter clears its fault. PATTERN may end in *, which matches any suffix.
+// PUT /test/fault?name=PATTERN&delay_ms=N&cut=none|forward|backward|both&reset=0|1&drop_answers=0|1&
+// silence=none|forward|backward|both sets the faults of links; an absent parameter clears its fault. PATTERN may end in
+// *, which matches any suffix. `silence` affects the connections that are open at that moment, for good.
 #include "standins/http_service.h"
 #include "standins/link_proxy.h"
 #include "standins/program_flags.h"
@@ -32,6 +33,9 @@
     fault.holdForward = cut == "forward" || cut == "both";
     fault.holdBackward = cut == "backward" || cut == "both";
     fault.reset = queryNumber(query, "reset", 0) != 0;
+    const std::string silence = queryText(query, "silence");
+    fault.silenceForward = silence == "forward" || silence == "both";
+    fault.silenceBackward = silence == "backward" || silence == "both";
     fault.dropAnswers = queryNumber(query, "drop_answers", 0) != 0;
     const std::size_t count = setLinkFault(proxy, queryText(query, "name"), fault);
     return {count > 0 ? 200 : 404, std::to_string(count), "text/plain"};
