Give each connection of a link its own socket and buffers

Cause: all connections of a link shared one socket and one output buffer. A write that was accepted in part went on after the connection was replaced, on the new socket, so that old frames came before the hello, and read a buffer that had been freed. Change: a connection owns its socket and buffers and lives as long as its operations; it is reset when it is replaced, so that the kernel does not go on sending what is sent again. A deadline has a number, so that one that has fired already is ignored, and is postponed once only for a paused process. The listener accepts again before it handles a connection. In the dispatch of advice: the leader calls the advisor at most twice for one request and counts its open calls until they end; a daemon at a new address counts as reachable; several unreachable daemons cost one repetition; a quick failure no longer ends a request whose overdue attempts may be answered. New cases: silence in the middle of large writes, and requests that wait for daemons that become unreachable.

--- a/packages/connection/http_requests.cpp
+++ b/packages/connection/http_requests.cpp
@@ -331,6 +331,7 @@
     } catch (const std::exception &problem) {
         finish(call, makeError(error_kind::Unreachable, to.value + ": " + problem.what()));
         call->deadline.cancel();
+        call->suspicion.cancel();
     }
 }
 
--- a/packages/connection/incoming_links.cpp
+++ b/packages/connection/incoming_links.cpp
@@ -282,8 +282,8 @@
             return;
         }
         if (!code) {
-            startConnection(links, std::move(socket));
             acceptNext(links);
+            startConnection(links, std::move(socket));
             return;
         }
         links.acceptTimer.expires_after(acceptPause);
--- a/packages/connection/outgoing_link.cpp
+++ b/packages/connection/outgoing_link.cpp
@@ -106,7 +106,8 @@
         dial(link);
         return;
     }
-    if (now > link->deadline.expiry() + pauseSign) {
+    if (now > link->deadline.expiry() + pauseSign && !link->postponed) {
+        link->postponed = true;
         link->progressAt = now;
         armDeadline(link, now + currentSilenceLimit(*link));
         return;
@@ -132,20 +133,27 @@
 {
     link->deadlineArmed = true;
     link->deadline.expires_at(due);
-    link->deadline.async_wait(onCurrentConnection(link, [link](const error_code &) { onDeadline(link); }));
+    link->deadline.async_wait([link, number = ++link->deadlineNumber](const error_code &cancelled) {
+        if (!cancelled && number == link->deadlineNumber) {
+            onDeadline(link);
+        }
+    });
 }
 
-/// Ends the current connection. Its completions are ignored from now on.
+/// Ends the current connection. Its completions are ignored from now on. Unsent data is discarded: what was not
+/// received is sent again on the next connection.
 void closeConnection(outgoing_link &link)
 {
-    ++link.connection;
-    error_code ignored;
-    link.socket.close(ignored);
+    ++link.deadlineNumber;
     link.deadline.cancel();
     link.deadlineArmed = false;
-    link.writing = false;
-    link.preamble.clear();
-    link.input.clear();
+    link.postponed = false;
+    if (link.connection) {
+        error_code ignored;
+        link.connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        link.connection->socket.close(ignored);
+        link.connection.reset();
+    }
     const std::lock_guard lock(link.mutex);
     disconnectWindow(link.window);
 }
@@ -212,7 +220,7 @@
         link->failures = 0;
     }
     reportReachability(*link, true);
-    link->preamble = encodeFirstNumber(resumption.first);
+    link->connection->preamble = encodeFirstNumber(resumption.first);
     sendFrames(link);
 }
 
@@ -220,17 +228,18 @@
 bool handleInput(const link_ref &link)
 {
     if (link->phase == link_phase::Greeting) {
-        const auto welcome = takeWelcome(link->input);
+        const auto welcome = takeWelcome(link->connection->input);
         if (!welcome) {
             return true;
         }
         handleWelcome(link, *welcome);
     }
-    const std::uint64_t acknowledged = takeAcknowledgements(link->input);
+    const std::uint64_t acknowledged = takeAcknowledgements(link->connection->input);
     if (acknowledged == 0) {
         return true;
     }
     link->failures = 0;
+    link->postponed = false;
     link->progressAt = currentTime();
     {
         const std::lock_guard lock(link->mutex);
@@ -244,28 +253,32 @@
 
 void readMore(const link_ref &link)
 {
-    link->socket.async_read_some(asio::buffer(link->buffer),
-                                 onCurrentConnection(link, [link](const error_code &code, std::size_t count) {
-                                     if (code) {
-                                         failConnection(link, "closed by the peer");
-                                         return;
-                                     }
-                                     link->input.append(link->buffer.data(), count);
-                                     if (handleInput(link)) {
-                                         readMore(link);
-                                     } else {
-                                         failConnection(link, "malformed acknowledgement");
-                                     }
-                                 }));
+    link_connection &connection = *link->connection;
+    connection.socket.async_read_some(
+        asio::buffer(connection.buffer),
+        onCurrentConnection(link, [link, &connection](const error_code &code, std::size_t count) {
+            if (code) {
+                failConnection(link, "closed by the peer");
+                return;
+            }
+            connection.input.append(connection.buffer.data(), count);
+            if (handleInput(link)) {
+                readMore(link);
+            } else {
+                failConnection(link, "malformed acknowledgement");
+            }
+        }));
 }
 
-void writeOutput(const link_ref &link)
+void writeOutput(const link_ref &link, std::string output)
 {
-    link->writing = true;
-    asio::async_write(link->socket,
-                      asio::buffer(link->output),
-                      onCurrentConnection(link, [link](const error_code &code, std::size_t) {
-                          link->writing = false;
+    link_connection &connection = *link->connection;
+    connection.writing = true;
+    connection.output = std::move(output);
+    asio::async_write(connection.socket,
+                      asio::buffer(connection.output),
+                      onCurrentConnection(link, [link, &connection](const error_code &code, std::size_t) {
+                          connection.writing = false;
                           if (code) {
                               failConnection(link, "closed by the peer");
                           } else if (link->phase == link_phase::Open) {
@@ -277,16 +290,17 @@
 /// Writes unsent packets, unless a write is in progress.
 void sendFrames(const link_ref &link)
 {
-    if (link->writing) {
+    if (link->connection->writing) {
         return;
     }
     bool first = false;
+    std::string output = std::exchange(link->connection->preamble, {});
     {
         const std::lock_guard lock(link->mutex);
         first = link->window.sentCount == 0;
-        link->output = std::exchange(link->preamble, {}) + takeUnsentFrames(link->window);
+        output += takeUnsentFrames(link->window);
     }
-    if (link->output.empty()) {
+    if (output.empty()) {
         return;
     }
     if (first) {
@@ -295,31 +309,31 @@
     if (!link->deadlineArmed && awaitsAcknowledgement(*link)) {
         armDeadline(link, link->progressAt + currentSilenceLimit(*link));
     }
-    writeOutput(link);
+    writeOutput(link, std::move(output));
 }
 
 void greet(const link_ref &link)
 {
-    setLinkOptions(link->socket);
+    setLinkOptions(link->connection->socket);
     link->phase = link_phase::Greeting;
-    link->output = encodeHello({link->id, link->environment.from, link->afterSilence});
     armDeadline(link, currentTime() + currentSilenceLimit(*link));
-    writeOutput(link);
+    writeOutput(link, encodeHello({link->id, link->environment.from, link->afterSilence}));
     readMore(link);
 }
 
 void dial(const link_ref &link)
 {
     closeConnection(*link);
+    link->connection = std::make_shared<link_connection>(link->context);
     link->phase = link_phase::Dialling;
     armDeadline(link, currentTime() + lengthened(dialLimit, link->failures));
-    link->socket.async_connect(link->endpoint, onCurrentConnection(link, [link](const error_code &code) {
-                                   if (code) {
-                                       failConnection(link, "refused");
-                                   } else {
-                                       greet(link);
-                                   }
-                               }));
+    link->connection->socket.async_connect(link->endpoint, onCurrentConnection(link, [link](const error_code &code) {
+                                               if (code) {
+                                                   failConnection(link, "refused");
+                                               } else {
+                                                   greet(link);
+                                               }
+                                           }));
 }
 
 /// Runs on the thread of the links after a packet was queued.
@@ -379,6 +393,11 @@
     }
 }
 
+void closeOutgoingLink(outgoing_link &link)
+{
+    closeConnection(link);
+}
+
 milliseconds unacknowledgedTime(outgoing_link &link)
 {
     const std::lock_guard lock(link.mutex);
--- a/packages/connection/outgoing_link.h
+++ b/packages/connection/outgoing_link.h
@@ -36,12 +36,26 @@
     Open,
 };
 
+/// One connection of a link. Kept alive by its pending operations, which may end long after it was replaced.
+struct link_connection {
+    explicit link_connection(boost::asio::io_context &context)
+        : socket(context)
+    {
+    }
+
+    boost::asio::ip::tcp::socket socket;
+    bool writing = false;
+    std::string output; ///< Being written.
+    std::string preamble; ///< Written before the next frames.
+    std::string input; ///< Received, incomplete.
+    std::array<char, 256> buffer{};
+};
+
 /// A link. All but the window and `wakePending` is used on the thread of the links only.
 struct outgoing_link : std::enable_shared_from_this<outgoing_link> {
     outgoing_link(boost::asio::io_context &ioContext, link_environment &shared)
         : context(ioContext)
         , environment(shared)
-        , socket(ioContext)
         , deadline(ioContext)
     {
     }
@@ -56,21 +70,17 @@
     send_window window; ///< Guarded by `mutex`.
     std::atomic<bool> wakePending = false;
 
-    boost::asio::ip::tcp::socket socket;
+    std::shared_ptr<link_connection> connection; ///< The current one, or null. Completions of others are ignored.
     boost::asio::steady_timer deadline; ///< Of the current phase.
     bool deadlineArmed = false;
-    std::uint64_t connection = 0; ///< Number of the current connection. Completions of earlier ones are ignored.
+    std::uint64_t deadlineNumber = 0; ///< Of the armed deadline; an earlier one may have fired already.
+    bool postponed = false; ///< The deadline was postponed once, because this process was paused.
     link_phase phase = link_phase::Idle;
     bool afterSilence = false; ///< The previous connection was silent.
     unsigned failures = 0; ///< Connections in a row that ended without an acknowledgement.
     bool reachable = true; ///< As last reported.
     time_point progressAt; ///< When the receiver last acknowledged something, or had nothing to acknowledge.
     time_point usedAt; ///< When the latest packet was queued.
-    bool writing = false;
-    std::string output; ///< Being written.
-    std::string preamble; ///< Written before the next frames.
-    std::string input; ///< Received, incomplete.
-    std::array<char, 256> buffer{};
 };
 
 /// Makes a link that is not connected. Errors: InvalidInput if the address is not an IP address and a port.
@@ -87,6 +97,9 @@
 /// found its own connection to this process silent.
 void suspectLink(outgoing_link &link);
 
+/// Closes the connection. Nothing may run on the context any more.
+void closeOutgoingLink(outgoing_link &link);
+
 /// Age of the oldest packet without an acknowledgement; 0 if there is none. From any thread.
 milliseconds unacknowledgedTime(outgoing_link &link);
 
--- a/packages/connection/packet_links.cpp
+++ b/packages/connection/packet_links.cpp
@@ -170,10 +170,9 @@
     }
     // The sockets are closed by their owners; nothing runs on the context any more.
     closeIncomingLinks(links.incoming);
-    boost::system::error_code ignored;
     const std::lock_guard lock(links.mutex);
     for (const auto &[to, link] : links.outgoing) {
-        link->socket.close(ignored);
+        closeOutgoingLink(*link);
     }
 }
 
--- a/packages/term/advice_dispatch.cpp
+++ b/packages/term/advice_dispatch.cpp
@@ -20,7 +20,10 @@
 /// Number of times that a request is sent. Each time the number of proxies doubles, so that the time until one responds
 /// grows with the logarithm of the number of daemons that do not.
 constexpr unsigned maxRounds = 6;
-/// Time after which a response is no longer expected at all.
+/// Number of times that the leader calls the advisor itself for one request. The second call helps if the connection of
+/// the first passes nothing; further ones would wait behind it.
+constexpr std::ptrdiff_t maxOwnCalls = 2;
+/// Time after its due time for which a late response is expected.
 constexpr milliseconds lateLimit{5000};
 /// Time for which a daemon whose call to the advisor failed gets no requests. It has no backlog left, so that it would
 /// get the next request each time. Short, because the call may have failed for reasons of the advisor.
@@ -154,7 +157,9 @@
     };
     const auto self = leader.proxies.find(leader.context.settings.name);
     const auto mostBacklog = static_cast<double>(responseGrace.count());
-    if (open.rounds > 1 && self != leader.proxies.end() && self->second.backlogMs <= mostBacklog) {
+    const auto ownCalls = std::count(open.tried.begin(), open.tried.end(), leader.context.settings.name);
+    if (open.rounds > 1 && self != leader.proxies.end() && ownCalls < maxOwnCalls
+        && self->second.backlogMs <= mostBacklog) {
         send(self);
         --ways;
     }
@@ -213,16 +218,20 @@
     }
     if (now.uptime - attempt.sentAt >= slowFailure) {
         repeatRequest(leader, entry, now);
-    } else {
+    } else if (open.rounds == 1) {
         abandonRequest(leader, entry, now.uptime + adviceRetryPause);
     }
+    // Otherwise an overdue attempt may still be answered, and the request is repeated when it is due.
 }
 
 /// Marks an attempt without a response as overdue and avoids its proxy.
 void markOverdue(cell_leader &leader, correlation_id correlation, advice_attempt &attempt, const clock_reading &now)
 {
     attempt.overdue = true;
-    releaseBacklog(leader, attempt);
+    // The leader's own call goes on at the advisor, and its callback always comes.
+    if (attempt.proxy != leader.context.settings.name) {
+        releaseBacklog(leader, attempt);
+    }
     avoidProxy(leader, attempt.proxy, now.uptime + proxyPause);
     addCount(*leader.context.counters, cell_metrics::adviceOverdue);
     const auto entry = leader.adviceRequests.find(attempt.request);
@@ -337,8 +346,9 @@
             markOverdue(leader, correlation, attempt, now);
         }
     }
-    std::erase_if(leader.adviceAttempts, [&now](const auto &entry) {
-        return entry.second.overdue && now.uptime > entry.second.sentAt + lateLimit;
+    std::erase_if(leader.adviceAttempts, [&leader, &now](const auto &entry) {
+        return entry.second.overdue && now.uptime > entry.second.dueAt + lateLimit
+            && entry.second.proxy != leader.context.settings.name;
     });
     for (auto next = leader.adviceRequests.begin(); next != leader.adviceRequests.end();) {
         const auto entry = next++;
@@ -361,9 +371,13 @@
             continue;
         }
         for (auto &[correlation, attempt] : leader.adviceAttempts) {
+            if (attempt.proxy != name || attempt.overdue) {
+                continue;
+            }
+            markOverdue(leader, correlation, attempt, now);
             const auto request = leader.adviceRequests.find(attempt.request);
-            if (attempt.proxy == name && request != leader.adviceRequests.end()) {
-                request->second.dueAt = std::min(request->second.dueAt, now.uptime - milliseconds(1));
+            if (request != leader.adviceRequests.end() && request->second.openAttempts == 0) {
+                request->second.dueAt = now.uptime - milliseconds(1);
             }
         }
     }
--- a/packages/term/cell_leader.cpp
+++ b/packages/term/cell_leader.cpp
@@ -165,7 +165,12 @@
     leader.proxies.try_emplace(leader.context.settings.name);
     for (const auto &[name, at] : daemons) {
         if (name != leader.context.settings.name) {
-            leader.proxies[name].at = at;
+            advice_proxy &proxy = leader.proxies[name];
+            if (proxy.at != at) {
+                proxy.at = at;
+                proxy.reachable = true;
+                proxy.avoidedUntil = {};
+            }
         }
     }
 }
--- a/test/correctness/advice_proxies.cpp
+++ b/test/correctness/advice_proxies.cpp
@@ -2,6 +2,7 @@
 // daemons by name or on the leader, against a daemon that attracts requests because its calls fail at once, and against
 // timeouts that add up over the daemons while a step waits (incident paguri-advice-overdue).
 #include "../fixtures/cell_simulation.h"
+#include "../fixtures/cell_simulation_parts.h"
 
 #include <catch2/catch.hpp>
 
@@ -72,6 +73,22 @@
     };
 }
 
+/// Tells the leader that the links to the other daemons pass nothing, or pass data again.
+void setOthersReachable(simulated_cell &cell, bool reachable)
+{
+    const std::size_t leader = *leaderOf(cell);
+    for (std::size_t number = 0; number < cell.daemons.size(); ++number) {
+        if (number != leader) {
+            const address peer = cell.daemons[number]->context->settings.peerAddress;
+            scheduleAtDaemon(cell, leader, 0, [daemon = cell.daemons[leader]->daemon.get(), peer, reachable] {
+                post(daemon->context.box, [daemon, peer, reachable](const clock_reading &now) {
+                    setPeerReachable(*daemon, peer, reachable, now);
+                });
+            });
+        }
+    }
+}
+
 /// Submits a job to the leader and returns whether one of its tasks is started in time.
 bool startsInTime(simulated_cell &cell)
 {
@@ -122,6 +139,29 @@
     CHECK(cell->violations.empty());
 }
 
+TEST_CASE("requests that wait for daemons that become unreachable are repeated at once")
+{
+    call_counts calls;
+    const auto cell = makeAdvisedCell(7, calls);
+    const std::size_t leader = *leaderOf(*cell);
+    silenceOthers(*cell);
+    const job_key key = makeJobKey(1);
+    submitJob(*cell, leader, key, makeOneStepJob(1, 1, "100"));
+    runFor(*cell, 200);
+    REQUIRE(cell->jobs.at(key).starts == 0);
+    setOthersReachable(*cell, false);
+    // Less than the time after which a response is overdue.
+    CHECK(runUntil(*cell, 250, [&] { return cell->jobs.at(key).starts > 0; }));
+    CHECK(calls[leader] == 1);
+    setOthersReachable(*cell, true);
+    for (const auto &daemon : cell->daemons) {
+        daemon->peersUnreachable = false;
+    }
+    submitJob(*cell, leader, makeJobKey(2), makeOneStepJob(1, 1, "100"));
+    CHECK(runUntil(*cell, 250, [&] { return cell->jobs.at(makeJobKey(2)).starts > 0; }));
+    CHECK(calls[leader] == 1);
+}
+
 TEST_CASE("a daemon that responds again gets requests again at once")
 {
     call_counts calls;
--- a/test/correctness/peer_links.cpp
+++ b/test/correctness/peer_links.cpp
@@ -118,7 +118,7 @@
 {
     // Without the reservation, another process may get the port before the receiver starts.
     const harness::port_reservation port;
-    const address receiverAddress = port.reservedAddress();
+    const address &receiverAddress = port.reservedAddress();
     const auto sender = startLinks(senderSettings(receiverAddress), ignore);
     constexpr std::uint64_t offered = 2000;
     for (std::uint64_t number = 0; number < offered; ++number) {
@@ -138,7 +138,7 @@
 TEST_CASE("a link reconnects after its peer was restarted")
 {
     const harness::port_reservation port;
-    const address receiverAddress = port.reservedAddress();
+    const address &receiverAddress = port.reservedAddress();
     received_messages received;
     auto receiver = startLinks(settingsOf("b", receiverAddress.value), received.sink());
     const auto sender = startLinks(senderSettings(receiverAddress), ignore);
--- a/test/error/silent_connections.cpp
+++ b/test/error/silent_connections.cpp
@@ -26,6 +26,7 @@
 std::vector<job_answer> useAllDaemons(cell &running, const std::string &prefix)
 {
     std::vector<std::future<job_answer>> open;
+    open.reserve(running.daemons.size() * running.shape.dataCentres.size());
     for (std::size_t daemon = 0; daemon < running.daemons.size(); ++daemon) {
         for (const std::string &dataCentre : running.shape.dataCentres) {
             const submit_request request =
--- a/test/error/silent_links.cpp
+++ b/test/error/silent_links.cpp
@@ -60,14 +60,15 @@
     }
 };
 
-/// Sends packets before and after each silence and expects all of them, once and in order.
-void checkSurvives(const std::vector<link_fault> &silences)
+/// Sends packets, padded to a size, before and after each silence and expects all of them, once and in order.
+void checkSurvives(const std::vector<link_fault> &silences, std::size_t packetBytes = 0)
 {
     proxied_pair pair;
     std::vector<std::string> sent;
     const auto sendMore = [&] {
         for (int count = 0; count < 20; ++count) {
-            sent.push_back(std::to_string(sent.size()));
+            const std::string number = std::to_string(sent.size());
+            sent.push_back(number + std::string(packetBytes - std::min(packetBytes, number.size()), ' '));
             REQUIRE(pair.send(sent.back()));
         }
     };
@@ -106,3 +107,10 @@
     const link_fault both = makeSilence(true, true);
     checkSurvives({both, both, makeSilence(true, false), both, makeSilence(false, true)});
 }
+
+TEST_CASE("a connection that goes silent in the middle of a large write is replaced")
+{
+    // The rest of the write once went out on the new connection, before its hello.
+    constexpr std::size_t largePacket = 400000;
+    checkSurvives({makeSilence(true, true), makeSilence(true, false)}, largePacket);
+}
