--- a/test/error/silent_connections.cpp
+++ b/test/error/silent_connections.cpp
@@ -36,6 +36,7 @@
         }
     }
     std::vector<job_answer> answers;
+    answers.reserve(open.size());
     for (std::future<job_answer> &answer : open) {
         answers.push_back(answer.get());
     }
