Stand-ins of the second review: faster watches, the percentage of runs

Seen: with hundreds of jobs the store's watches took so long that leaders lost their leases, and a percentage that stood still made the leader move runs; both spoiled chaos runs, none of the cases.

--- a/review/standins-2/store.cpp
+++ b/review/standins-2/store.cpp
@@ -219,8 +219,9 @@
         std::string items;
         std::size_t count = 0;
         bool truncated = false;
-        for (const auto &[key, item] : m_items) {
-            if (!hasPrefix(key, prefix) || (!after.empty() && key <= after)) {
+        for (auto next = m_items.lower_bound(prefix); next != m_items.end() && hasPrefix(next->first, prefix); ++next) {
+            const auto &[key, item] = *next;
+            if (!after.empty() && key <= after) {
                 continue;
             }
             if (count++ == maxPageItems) {
@@ -238,12 +239,16 @@
             + std::chrono::milliseconds(std::min(numberOf(request.query, "waitMs"), 30000LL));
         std::string events;
         while (true) {
-            for (const store_event &event : m_events) {
-                if (event.revision > after && hasPrefix(event.key, prefix)) {
+            const auto first = std::upper_bound(
+                m_events.begin(), m_events.end(), after, [](long long revision, const store_event &event) {
+                    return revision < event.revision;
+                });
+            for (auto event = first; event != m_events.end(); ++event) {
+                if (hasPrefix(event->key, prefix)) {
                     events += (events.empty() ? "{" : ",{")
-                        + (event.removed ? "\"key\":" + quoted(event.key)
-                                   + ",\"revision\":" + std::to_string(event.revision) + ",\"tombstone\":true"
-                                         : itemFields(event.key, event.item))
+                        + (event->removed ? "\"key\":" + quoted(event->key)
+                                   + ",\"revision\":" + std::to_string(event->revision) + ",\"tombstone\":true"
+                                          : itemFields(event->key, event->item))
                         + "}";
                 }
             }
--- a/review/standins-2/worker.cpp
+++ b/review/standins-2/worker.cpp
@@ -164,7 +164,7 @@
     {
         const std::lock_guard lock(m_log.mutex);
         m_log.entries.push_back({m_options.id, m_options.label, m_born, task, run, nowMs(), -1, "", false});
-        m_runs[task] = {run, nowMs() + work, m_log.entries.size() - 1};
+        m_runs[task] = {run, nowMs(), nowMs() + work, m_log.entries.size() - 1};
     }
     record("worker " + m_options.id + " started task=" + task + " run=" + std::to_string(run)
            + " fence=" + std::to_string(number(order, "fencingToken")) + " label=" + m_options.label
@@ -213,7 +213,9 @@
     m_ended.wait_until(lock, until, [&] { return !m_ends.empty() || m_born != born || m_cut; });
     std::string running;
     for (const auto &[task, run] : m_runs) {
-        running += (running.empty() ? "" : ",") + ("[\"" + task + "\"," + std::to_string(run.run) + ",\"\",50,0]");
+        const long long percent = 100 * (nowMs() - run.startedAt) / std::max(run.endsAt - run.startedAt, 1LL);
+        running += (running.empty() ? "[\"" : ",[\"") + task + "\"," + std::to_string(run.run) + ",\"\","
+            + std::to_string(std::min(percent, 100LL)) + ",0]";
     }
     std::string ended;
     for (std::size_t i = 0; i < std::min(m_ends.size(), maxListedEnds); ++i) {
--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -81,7 +81,8 @@
 private:
     struct live_run {
         long long run = 0;
-        long long endsAt = 0; ///< Milliseconds of nowMs().
+        long long startedAt = 0; ///< Milliseconds of nowMs().
+        long long endsAt = 0;
         std::size_t entry = 0; ///< Index in the log.
     };
     struct listed_end {
