review/6: the machines that stay take a leader that has left for present, and accepted jobs never run

Seen: two machines leave, each while it leads, while the store's watches hear nothing; the refused claims of the others show them a key whose removal their watches never report.

--- a/review/standins-2/store.cpp
+++ b/review/standins-2/store.cpp
@@ -135,6 +135,31 @@
     m_changed.notify_all();
 }
 
+std::optional<std::string> store::value(const std::string &key)
+{
+    const std::lock_guard lock(m_mutex);
+    expireLeases();
+    const auto found = m_items.find(key);
+    return found == m_items.end() ? std::nullopt : std::optional(decodeBase64(found->second.value));
+}
+
+void store::compact(long long duration)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_silentUntil = nowMs() + duration;
+        record("store forgets_history watches hear nothing for " + std::to_string(duration) + " ms");
+    }
+    std::thread([this, duration] {
+        sleepMs(duration);
+        const std::lock_guard lock(m_mutex);
+        m_compacted = m_revision;
+        m_events.clear();
+        record("store cuts_watches");
+        m_changed.notify_all();
+    }).detach();
+}
+
 void store::expireLeases()
 {
     const long long now = nowMs();
@@ -239,6 +264,16 @@
             + std::chrono::milliseconds(std::min(numberOf(request.query, "waitMs"), 30000LL));
         std::string events;
         while (true) {
+            if (after < m_compacted) {
+                response.status = 410;
+                response.body = "{}";
+                return true;
+            }
+            if (nowMs() < m_silentUntil) {
+                // Whoever waits hears of the cut.
+                m_changed.wait_for(lock, std::chrono::milliseconds(m_silentUntil - nowMs() + 5));
+                continue;
+            }
             const auto first = std::upper_bound(
                 m_events.begin(), m_events.end(), after, [](long long revision, const store_event &event) {
                     return revision < event.revision;
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,13 @@
     /// Removes a key.
     void remove(const std::string &key);
 
+    /// The value of a key, or nothing if it is absent.
+    std::optional<std::string> value(const std::string &key);
+
+    /// Forgets its history: watches hear nothing for the duration, then all of them are cut, and the changes up to that
+    /// moment can't be watched any more.
+    void compact(long long duration);
+
     /// If set, decides whether the answer of a transaction is lost: returns the milliseconds after which the
     /// transaction is carried out, or -1 for a normal call. The argument is the body.
     std::function<long long(const std::string &body)> loseTransaction;
@@ -56,6 +64,8 @@
     long long m_lastLease = 0;
     std::map<std::string, stored_item> m_items;
     std::vector<store_event> m_events;
+    long long m_silentUntil = 0; ///< Milliseconds of nowMs(); watches hear nothing before.
+    long long m_compacted = 0; ///< Changes up to this revision can't be watched.
     std::map<long long, std::pair<long long, long long>> m_leases; ///< Time to live, and when it ends.
 };
 
