--- a/review/standins-2/http.cpp
+++ b/review/standins-2/http.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdlib>
 #include <cstring>
 #include <sstream>
 #include <thread>
@@ -183,15 +184,34 @@
     }
 }
 
-int serveHttp(http_handler handler)
+std::pair<int, int> listenOnLoopback()
 {
     const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in at = loopback(0);
-    bind(listener, reinterpret_cast<sockaddr *>(&at), sizeof(at));
-    listen(listener, 512);
+    if (bind(listener, reinterpret_cast<sockaddr *>(&at), sizeof(at)) != 0 || listen(listener, 512) != 0) {
+        std::abort();
+    }
     socklen_t size = sizeof(at);
     getsockname(listener, reinterpret_cast<sockaddr *>(&at), &size);
-    std::thread([listener, handler = std::move(handler)] {
+    return {listener, ntohs(at.sin_port)};
+}
+
+int connectToLoopback(int port)
+{
+    const int opened = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in at = loopback(port);
+    if (connect(opened, reinterpret_cast<const sockaddr *>(&at), sizeof(at)) != 0) {
+        ::close(opened);
+        return -1;
+    }
+    setNoDelay(opened);
+    return opened;
+}
+
+int serveHttp(http_handler handler)
+{
+    const auto [listener, port] = listenOnLoopback();
+    std::thread([listener = listener, handler = std::move(handler)] {
         while (true) {
             const int accepted = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (accepted < 0) {
@@ -200,7 +220,7 @@
             std::thread(serveChannel, http_channel{accepted, nowMs()}, handler).detach();
         }
     }).detach();
-    return ntohs(at.sin_port);
+    return port;
 }
 
 bool isClosedByPeer(const http_channel &channel)
--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace review {
 
@@ -43,6 +44,12 @@
 /// Listens on 127.0.0.1 and serves requests on detached threads until the process ends. Returns the port.
 int serveHttp(http_handler handler);
 
+/// Opens a listening socket on 127.0.0.1 and returns it with its port.
+std::pair<int, int> listenOnLoopback();
+
+/// Connects to a port of 127.0.0.1. Returns the socket, or -1.
+int connectToLoopback(int port);
+
 /// True if the other side has closed the connection.
 bool isClosedByPeer(const http_channel &channel);
 
--- a/review/standins-2/store.cpp
+++ b/review/standins-2/store.cpp
@@ -1,5 +1,6 @@
 #include "store.h"
 
+#include "fields.h"
 #include "record.h"
 
 #include <rapidjson/document.h>
@@ -189,11 +190,11 @@
     document.Parse(body.c_str(), body.size());
     std::string items;
     bool holds = true;
-    for (const auto &condition : document["expectedRev"].GetArray()) {
-        const std::string key = condition["key"].GetString();
+    for (const auto &condition : memberOf(document, "expectedRev").GetArray()) {
+        const std::string key = memberOf(condition, "key").GetString();
         const auto found = m_items.find(key);
         const long long revision = found == m_items.end() ? 0 : found->second.revision;
-        holds = holds && revision == condition["revision"].GetInt64();
+        holds = holds && revision == memberOf(condition, "revision").GetInt64();
         items += (items.empty() ? "{" : ",{")
             + (found == m_items.end() ? "\"key\":" + quoted(key) + ",\"revision\":0" : itemFields(key, found->second))
             + "}";
@@ -203,8 +204,8 @@
         response.body = "{\"items\":[" + items + "]}";
         return;
     }
-    for (const auto &entry : document["puts"].GetArray()) {
-        const long long lease = entry.HasMember("lease") ? entry["lease"].GetInt64() : 0;
+    for (const auto &entry : memberOf(document, "puts").GetArray()) {
+        const long long lease = entry.HasMember("lease") ? memberOf(entry, "lease").GetInt64() : 0;
         if (lease != 0 && m_leases.count(lease) == 0) {
             response.status = 404;
             response.body = "{}";
@@ -212,12 +213,12 @@
         }
     }
     ++m_revision;
-    for (const auto &entry : document["puts"].GetArray()) {
-        write(entry["key"].GetString(),
-              entry["value"].GetString(),
-              entry.HasMember("lease") ? entry["lease"].GetInt64() : 0);
+    for (const auto &entry : memberOf(document, "puts").GetArray()) {
+        write(memberOf(entry, "key").GetString(),
+              memberOf(entry, "value").GetString(),
+              entry.HasMember("lease") ? memberOf(entry, "lease").GetInt64() : 0);
     }
-    for (const auto &key : document["remove"].GetArray()) {
+    for (const auto &key : memberOf(document, "remove").GetArray()) {
         erase(key.GetString());
     }
     response.body = "{\"revision\":" + std::to_string(m_revision) + "}";
@@ -310,7 +311,7 @@
     } else if (path == "/sesamespar/kv-lease") {
         rapidjson::Document document;
         document.Parse(request.body.c_str(), request.body.size());
-        const long long ttl = std::max<long long>(document["ttlMs"].GetInt64(), shortestLease);
+        const long long ttl = std::max<long long>(memberOf(document, "ttlMs").GetInt64(), shortestLease);
         m_leases[++m_lastLease] = {ttl, nowMs() + ttl};
         response.body = "{\"lease\":" + std::to_string(m_lastLease) + ",\"ttlMs\":" + std::to_string(ttl) + "}";
     } else if (path.rfind("/sesamespar/kv-keep/", 0) == 0) {
--- a/review/standins-2/worker.cpp
+++ b/review/standins-2/worker.cpp
@@ -1,5 +1,6 @@
 #include "worker.h"
 
+#include "fields.h"
 #include "record.h"
 
 #include <rapidjson/document.h>
@@ -31,7 +32,7 @@
 
 long long number(const rapidjson::Document &document, const char *name)
 {
-    return document.HasMember(name) ? document[name].GetInt64() : 0;
+    return document.HasMember(name) ? memberOf(document, name).GetInt64() : 0;
 }
 
 } // namespace
@@ -78,7 +79,8 @@
 void worker::writeEntry()
 {
     m_entries.put("servers/" + m_options.id,
-                  "{\"service\":\"" + m_options.service + "\",\"address\":\"127.0.0.1:" + std::to_string(m_port)
+                  "{\"service\":\"" + m_options.service + "\",\"address\":\"127.0.0.1:"
+                      + std::to_string(m_options.advertisedPort > 0 ? m_options.advertisedPort : m_port)
                       + "\",\"zone\":\"metsovo\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"coldLeftMs\":0,"
                       + "\"capacity\":{\"cpu\":" + std::to_string(m_options.cpu)
                       + ",\"memMb\":" + std::to_string(m_options.memMb) + ",\"gpu\":0},\"labels\":[\"" + m_options.label
@@ -133,8 +135,8 @@
 void worker::handleStart(const std::string &body, http_message &response)
 {
     const rapidjson::Document order = parse(body);
-    const std::string task = order["task"].GetString();
-    const long long run = order["run"].GetInt64();
+    const std::string task = memberOf(order, "task").GetString();
+    const long long run = memberOf(order, "run").GetInt64();
     const auto refuse = [&](const char *reason) {
         response.status = 409;
         response.body = "{\"clockMs\":" + std::to_string(clock()) + ",\"reason\":\"" + reason + "\"}";
@@ -174,8 +176,8 @@
 void worker::handleStop(const std::string &body, http_message &response)
 {
     const rapidjson::Document order = parse(body);
-    const std::string task = order["task"].GetString();
-    const long long run = order["run"].GetInt64();
+    const std::string task = memberOf(order, "task").GetString();
+    const long long run = memberOf(order, "run").GetInt64();
     response.body = "{\"clockMs\":" + std::to_string(clock()) + "}";
     if (isFenced(number(order, "fencingToken"), response)) {
         return;
@@ -260,10 +262,11 @@
     }
     if (request.path == "/sesamespar/run-start") {
         const rapidjson::Document order = parse(request.body);
-        const long long late = delayStart ? delayStart(order["task"].GetString(), order["run"].GetInt64()) : -1;
+        const long long late =
+            delayStart ? delayStart(memberOf(order, "task").GetString(), memberOf(order, "run").GetInt64()) : -1;
         if (late >= 0) {
-            record("worker " + m_options.id + " leaves_unanswered start task=" + order["task"].GetString()
-                   + " run=" + std::to_string(order["run"].GetInt64()) + " late_ms=" + std::to_string(late));
+            record("worker " + m_options.id + " leaves_unanswered start task=" + memberOf(order, "task").GetString()
+                   + " run=" + std::to_string(memberOf(order, "run").GetInt64()) + " late_ms=" + std::to_string(late));
             std::thread([this, body = request.body, late] {
                 sleepMs(late);
                 const std::lock_guard relock(m_mutex);
--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -39,6 +39,7 @@
     std::string label;
     long long cpu = 4000;
     long long memMb = 8192;
+    int advertisedPort = 0; ///< Port in the entry, if it is not that of the worker itself.
 };
 
 class worker
@@ -73,6 +74,11 @@
     /// Starts again under its id with the label, with a new birth. Writes its entry at once.
     void restart(const std::string &label);
 
+    int port() const
+    {
+        return m_port;
+    }
+
     const std::string &id() const
     {
         return m_options.id;
