--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 mkdir -p target/review-2
 parts="review/standins-2/http.cpp review/standins-2/record.cpp review/standins-2/store.cpp
        review/standins-2/worker.cpp review/standins-2/deployment.cpp"
-for name in stale_ack reborn cancelled no_leader; do
+for name in stale_ack reborn no_leader power_loss; do
     # shellcheck disable=SC2086
     g++ -std=c++20 -O1 -Wall -Wextra -Ireview/standins-2 $parts "review/standins-2/$name.cpp" \
         -o "target/review-2/$name" -pthread
