Report what a claim shows of the cell's keys through their mirror

Cause: a claim, won or refused, set the election's view of the leader's key past the mirror of the cell's keys. The mirror reports only removals of keys that it has reported, so that a key that went before any watch or listing showed it stayed present for good. A refusal that arrives after the mirror has seen the removal has the same effect. Ruled out: daemons that drain or never listed the keys (they accept jobs); the ten-second listings, which compare with what the mirror knew. Change: learnItem hands an item from another call to the mirror, which ignores it if its revision is not later than the mirror's, and otherwise reports its removal like that of any key. A removal that is older than a learned item is ignored. The election acts on the mirror's reports only.

--- a/packages/connection/store_mirror.cpp
+++ b/packages/connection/store_mirror.cpp
@@ -81,9 +81,12 @@
     }
 }
 
-void handleRemoval(store_mirror &mirror, const std::string &key, const clock_reading &now)
+/// Handles a removal at or before the revision `upTo`. An item that was learned at a later revision stays.
+void handleRemoval(store_mirror &mirror, const std::string &key, store_revision upTo, const clock_reading &now)
 {
-    if (mirror.known.erase(key) > 0) {
+    const auto found = mirror.known.find(key);
+    if (found != mirror.known.end() && found->second <= upTo) {
+        mirror.known.erase(found);
         runContained("store_removal", key, [&] { mirror.sink.removed(key, now); });
     }
 }
@@ -107,13 +110,13 @@
 void finishListing(const std::shared_ptr<store_mirror> &mirror, const clock_reading &now)
 {
     std::vector<std::string> vanished;
-    for (const auto &[key, revision] : mirror->known) {
-        if (!mirror->listing.contains(key) && revision <= mirror->listingFrom) {
-            vanished.push_back(key);
+    for (const auto &entry : mirror->known) {
+        if (!mirror->listing.contains(entry.first)) {
+            vanished.push_back(entry.first);
         }
     }
     for (const std::string &key : vanished) {
-        handleRemoval(*mirror, key, now);
+        handleRemoval(*mirror, key, mirror->listingFrom, now);
     }
     mirror->revision = mirror->listingFrom;
     mirror->listedAt = now.uptime;
@@ -187,7 +190,7 @@
         handleItem(*mirror, item, now);
     }
     for (const std::string &key : page.value().removedKeys) {
-        handleRemoval(*mirror, key, now);
+        handleRemoval(*mirror, key, page.value().storeRevision, now);
     }
     if (mirror->stopped) {
         return;
@@ -231,6 +234,14 @@
     return mirror;
 }
 
+void learnItem(store_mirror &mirror, const store_item &item, const clock_reading &now)
+{
+    // If the mirror does not know an item that is not later than its revision, the item has been removed since.
+    if (!mirror.stopped && item.revision > mirror.revision) {
+        handleItem(mirror, item, now);
+    }
+}
+
 void stopFollowing(store_mirror &mirror)
 {
     mirror.stopped = true;
--- a/packages/connection/store_mirror.h
+++ b/packages/connection/store_mirror.h
@@ -30,6 +30,10 @@
                                            milliseconds pause,
                                            mirror_sink sink);
 
+/// Applies an item that another call to the store has returned, unless the mirror has applied all changes up to its
+/// revision already. The mirror then reports the removal of the item even if no watch ever reported the item itself.
+void learnItem(store_mirror &mirror, const store_item &item, const clock_reading &now);
+
 /// Stops the mirror. The sink is not called afterwards.
 void stopFollowing(store_mirror &mirror);
 
--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -234,6 +234,9 @@
             readStatus(*self, key, timeout, std::move(done), now);
         });
     election_sink sink;
+    sink.found = [self](const store_item &item, const clock_reading &now) {
+        learnItem(*self->cellKeys, item, now);
+    };
     sink.won = [self](fencing_token fence, const clock_reading &now) {
         startLeading(*self, fence, now);
     };
--- a/packages/process/cell_election.cpp
+++ b/packages/process/cell_election.cpp
@@ -79,6 +79,7 @@
 void win(const std::shared_ptr<cell_election> &election, store_revision revision, const clock_reading &now)
 {
     election->leaderPresent = true;
+    election->sink.found({cell_keys::leader, leaderValue(election->context), revision}, now);
     scheduleRenewal(election, renewPeriod, now);
     if (election->leading) {
         log_event("leader_key_claimed_again").with("fence", election->fence);
@@ -107,10 +108,8 @@
     }
     if (commit) {
         for (const store_item &item : commit.value().current) {
-            if (item.key == cell_keys::term) {
-                onTermKeyChange(*election, item, now);
-            } else if (item.key == cell_keys::leader) {
-                onLeaderKeyChange(*election, item, now);
+            if (item.revision.value != 0) {
+                election->sink.found(item, now);
             }
         }
     }
--- a/packages/process/cell_election.h
+++ b/packages/process/cell_election.h
@@ -15,6 +15,9 @@
 
 /// Callbacks of an election. All run on the control thread.
 struct election_sink {
+    /// A claim has shown or written an item of the cell's keys. Its owner passes it to the mirror of these keys, which
+    /// then reports it to the election and also reports its removal.
+    std::function<void(const store_item &, const clock_reading &)> found;
     std::function<void(fencing_token, const clock_reading &)> won;
     std::function<void(const char *reason)> lost; ///< The term that this daemon had won has ended.
 };
--- a/test/error/cell_failures.cpp
+++ b/test/error/cell_failures.cpp
@@ -204,6 +204,61 @@
     CHECK(cell->violations.empty());
 }
 
+namespace {
+
+/// Ends the silence of the watches. The history of the changes that were made meanwhile is gone.
+void discardSilentHistory(simulated_cell &cell)
+{
+    cell.historyFrom = cell.revision;
+    cell.history.clear();
+    cell.watches.clear();
+    cell.watchesSilent = false;
+}
+
+} // namespace
+
+TEST_CASE("daemons that know a leader only from a refused claim elect again after it has left")
+{
+    // The daemons that stayed took the leader for present for good, and accepted jobs did not run.
+    simulated_cell_settings settings;
+    settings.daemons = 5;
+    simulated_cell cell(settings);
+    runFor(cell, 2000);
+    killDaemon(cell, *leaderOf(cell));
+    REQUIRE(runUntil(cell, 3000, [&] { return !cell.items.contains(cell_keys::leader); }));
+    runFor(cell, 20);
+    cell.watchesSilent = true;
+    REQUIRE(runUntil(cell, 1000, [&] { return leaderOf(cell).has_value(); }));
+    runFor(cell, 450);
+    const std::size_t second = *leaderOf(cell);
+    post(cell.daemons[second]->context->box,
+         [&](const clock_reading &now) { drainCellDaemon(*cell.daemons[second]->daemon, now); });
+    runFor(cell, 100);
+    discardSilentHistory(cell);
+    CHECK(runUntil(cell, 4000, [&] { return leaderOf(cell).has_value() && *leaderOf(cell) != second; }));
+    const std::size_t witness = second == 0 ? 1 : 0;
+    submitJob(cell, cell.daemons[witness]->alive ? witness : witness + 1, makeJobKey(1), makeOneStepJob(1, 1, "300"));
+    CHECK(runUntil(cell, 4000, [&] { return isCompleted(cell, 1); }));
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("a daemon whose term began and ended while its watch was silent campaigns again")
+{
+    // No watch had shown the daemon its own key, so that it never learned of the key's removal.
+    simulated_cell_settings settings;
+    settings.daemons = 1;
+    simulated_cell cell(settings);
+    REQUIRE(runUntil(cell, 1000, [&] {
+        cell.watchesSilent = cell.daemons.front()->daemon->election->known;
+        return leaderOf(cell).has_value();
+    }));
+    post(cell.daemons.front()->context->box,
+         [&](const clock_reading &) { concede(*cell.daemons.front()->daemon->election, "conceded by the test"); });
+    runFor(cell, 100);
+    discardSilentHistory(cell);
+    CHECK(runUntil(cell, 4000, [&] { return leaderOf(cell).has_value(); }));
+}
+
 TEST_CASE("ends of a new incarnation are not acknowledged with an end number of the previous one")
 {
     simulated_cell_settings settings;
--- a/test/error/silent_watch.cpp
+++ b/test/error/silent_watch.cpp
@@ -1,5 +1,6 @@
-// A channel to the store that goes silent without a reset, so that a watch on it never answers. Guards against a daemon
-// that acts on what it knew before, such as workers that have begun to drain since, when it counts as in touch again.
+// Watches on the store that report nothing, because their channel has gone silent without a reset or because the store
+// does not report changes for a while. Guards against a daemon that goes on acting on what it knew before, such as
+// workers that have begun to drain since, or a leader that has left.
 #include "connection/store_mirror.h"
 
 #include <catch2/catch.hpp>
@@ -76,3 +77,101 @@
     CHECK(store.listings >= 2);
     stopFollowing(*mirror);
 }
+
+namespace {
+
+/// A store whose listing and watch the test answers, and the removals that a mirror of it reports.
+struct manual_store {
+    store_page listed;
+    store_callback<store_page> watch;
+    store_port port;
+    mailbox box;
+    timer_service timers;
+    std::vector<std::string> removed;
+    std::shared_ptr<store_mirror> mirror;
+};
+
+void runTasks(manual_store &store)
+{
+    while (!store.box.tasks.empty()) {
+        const control_task task = std::move(store.box.tasks.front());
+        store.box.tasks.pop_front();
+        task(readingAt(milliseconds(0)));
+    }
+}
+
+/// Answers the open watch; a failed watch is replaced by a listing.
+void answerWatch(manual_store &store, const result<store_page> &page)
+{
+    std::exchange(store.watch, nullptr)(page);
+    runTasks(store);
+    fireDue(store.timers, readingAt(milliseconds(1000)));
+    runTasks(store);
+}
+
+std::unique_ptr<manual_store> makeManualStore(store_page listed)
+{
+    auto store = std::make_unique<manual_store>();
+    manual_store *const raw = store.get();
+    raw->listed = std::move(listed);
+    raw->port.list = [raw](const auto &, const auto &, bool, milliseconds, const store_callback<store_page> &done) {
+        done(raw->listed);
+    };
+    raw->port.watch = [raw](const auto &, auto, milliseconds, milliseconds, const store_callback<store_page> &done) {
+        raw->watch = done;
+    };
+    mirror_sink sink;
+    sink.changed = [](const store_item &, const clock_reading &) {
+    };
+    sink.removed = [raw](const std::string &key, const clock_reading &) {
+        raw->removed.push_back(key);
+    };
+    sink.listed = [](const clock_reading &) {
+    };
+    raw->mirror = followPrefix(raw->port, raw->box, raw->timers, "cell/", milliseconds(0), std::move(sink));
+    runTasks(*raw);
+    return store;
+}
+
+store_page pageAt(std::uint64_t revision)
+{
+    store_page page;
+    page.storeRevision = store_revision(revision);
+    return page;
+}
+
+const store_item learned{"cell/leader", "a 1", store_revision(8)};
+
+} // namespace
+
+TEST_CASE("the removal of an item that only another call has shown is reported by the next listing")
+{
+    const auto store = makeManualStore(pageAt(5));
+    learnItem(*store->mirror, learned, readingAt(milliseconds(0)));
+    store->listed = pageAt(9);
+    answerWatch(*store, makeError(error_kind::NotFound, "the history is gone"));
+    CHECK(store->removed == std::vector<std::string>{"cell/leader"});
+}
+
+TEST_CASE("an item that was removed before another call's reply arrived is not taken for present")
+{
+    const auto store = makeManualStore(pageAt(9));
+    learnItem(*store->mirror, learned, readingAt(milliseconds(0)));
+    store->listed = pageAt(10);
+    answerWatch(*store, makeError(error_kind::NotFound, "the history is gone"));
+    CHECK(store->removed.empty());
+}
+
+TEST_CASE("a late report of an earlier removal does not remove an item that another call has shown")
+{
+    const auto store = makeManualStore(pageAt(5));
+    learnItem(*store->mirror, learned, readingAt(milliseconds(0)));
+    store_page earlier = pageAt(7);
+    earlier.removedKeys = {"cell/leader"};
+    answerWatch(*store, earlier);
+    CHECK(store->removed.empty());
+    store_page later = pageAt(9);
+    later.removedKeys = {"cell/leader"};
+    answerWatch(*store, later);
+    CHECK(store->removed == std::vector<std::string>{"cell/leader"});
+}
