Send a call to a worker once, and acknowledge ends only while they are listed

Cause: the HTTP library sent the poll again on a new connection after the old one was reset, and each poll repeated the number of ends that the worker had discarded long before. A call names the worker's id, which every incarnation has.

--- a/packages/connection/http_requests.cpp
+++ b/packages/connection/http_requests.cpp
@@ -107,6 +107,8 @@
     http_done done;
     std::shared_ptr<address_client> client; ///< Set when the pool admits the call.
     traffic_totals *traffic = nullptr;
+    bool once = false; ///< See outgoing_request.
+    time_point writeBy; ///< In uptime.
     std::atomic<bool> finished = false;
     /// Number of times the library has begun to write the body. It sends a request again by itself if a reused
     /// connection ends before the answer. Requests without a body, which read or end a lease, have the same effect if
@@ -167,12 +169,29 @@
     return makeError(call.attempts > 0 ? error_kind::Unknown : error_kind::Unreachable, call.to.value + ": " + problem);
 }
 
-/// Counts an attempt to send the request, and in the traffic each attempt but the first.
-void countAttempt(pending_call &call)
+/// Ends the call before its body is written. The exception makes the library give the attempt up; the cancellation
+/// closes the connection, which would otherwise be reused after an incomplete request.
+[[noreturn]] void stopAttempt(pending_call &call, const char *reason)
 {
-    if (call.attempts++ > 0 && call.traffic != nullptr) {
+    dropConnections(call);
+    call.cancellation.cancel();
+    throw std::runtime_error(reason);
+}
+
+/// Admits or stops an attempt to send the request whose head is written. Counts it, and in the traffic each attempt but
+/// the first.
+void beginAttempt(pending_call &call)
+{
+    if (call.attempts > 0 && call.traffic != nullptr) {
         ++call.traffic->resent;
     }
+    if (call.attempts > 0 && call.once) {
+        stopAttempt(call, "the connection ended before the answer");
+    }
+    if (readClocks().uptime > call.writeBy) {
+        stopAttempt(call, "the request was not written in time");
+    }
+    ++call.attempts;
 }
 
 /// Size of the status line and the header fields of an answer.
@@ -240,7 +259,7 @@
         request.set_progress_handler(
             [call](web::http::message_direction::direction direction, utility::size64_t bytes) {
                 if (direction == web::http::message_direction::upload && bytes == 0) {
-                    countAttempt(*call);
+                    beginAttempt(*call);
                 }
             });
     }
@@ -298,6 +317,8 @@
     ++call->pool.counters.calls;
     call->pool.counters.bytesSent += message.body.size();
     call->traffic = message.traffic;
+    call->once = message.once;
+    call->writeBy = readClocks().uptime + (message.writeWithin.count() > 0 ? message.writeWithin : limit);
     if (message.traffic != nullptr) {
         countSent(*message.traffic, message);
     }
--- a/packages/connection/http_requests.h
+++ b/packages/connection/http_requests.h
@@ -33,6 +33,12 @@
     /// Time without an answer after which later calls to the address use new connections, because the open ones may
     /// pass nothing; 0 for the limit of the call.
     milliseconds suspectAfter{0};
+    /// The request reaches its receiver at most once: the library's own second attempt is stopped before the body is
+    /// written, and the call ends with Unknown.
+    bool once = false;
+    /// Time within which the body must be written. Afterwards the call ends with Unreachable and the receiver cannot
+    /// carry the request out, even if this process was paused meanwhile; 0 for the limit of the call.
+    milliseconds writeWithin{0};
 };
 
 /// A complete answer, whatever its status.
--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -93,6 +93,7 @@
     time_point clockAt; ///< When that reading was received, in uptime.
     time_point leasesEndBy; ///< In uptime; without contact, all of its leases have expired afterwards.
     end_number seenEnds; ///< All ends up to this one are stored, so the worker may discard them.
+    end_number oldestEnd; ///< The first end in the latest report of the current incarnation; 0 if it had none.
 };
 
 /// A step of a job in progress.
--- a/packages/term/worker_reports.cpp
+++ b/packages/term/worker_reports.cpp
@@ -4,6 +4,8 @@
 #include "term/run_lifecycle.h"
 #include "term/worker_speed.h"
 
+#include <algorithm>
+
 namespace sesamespar {
 
 namespace {
@@ -69,6 +71,14 @@
     ends.emplace(row.number, std::move(end));
 }
 
+end_number oldestEndIn(const worker_report &report)
+{
+    const auto oldest = std::min_element(report.ended.begin(),
+                                         report.ended.end(),
+                                         [](const ended_row &a, const ended_row &b) { return a.number < b.number; });
+    return oldest == report.ended.end() ? end_number(0) : oldest->number;
+}
+
 /// True if a report to a poll sent at `sentAt` would list the run, had it not ended.
 bool wouldBeListed(const placed_run &run, time_point sentAt)
 {
@@ -109,6 +119,7 @@
     worker.seen = true;
     worker.clock = report.workerClock;
     worker.clockAt = now.uptime;
+    worker.oldestEnd = oldestEndIn(report);
     run_table table = indexRuns(worker);
     for (const ended_row &row : report.ended) {
         handleEnd(state, worker, row, table, now);
@@ -165,6 +176,7 @@
     worker.seen = false;
     worker.clock.reset();
     worker.seenEnds = end_number(0);
+    worker.oldestEnd = end_number(0);
     worker.record = {};
     worker.speed = 1;
     worker.orphanRuns = 0;
--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -122,6 +122,15 @@
                      const result<worker_report> &report,
                      const clock_reading &now);
 
+/// The number of ends that a poll acknowledges: 0 unless the worker still lists some that are stored, and after a
+/// missed poll. The worker may restart before the poll arrives, and its new incarnation numbers ends from the
+/// beginning, so the number of the earlier one would make it discard ends that this leader has not seen.
+end_number endsToDiscard(const cell_worker &worker)
+{
+    const bool listsStored = worker.oldestEnd.value != 0 && worker.oldestEnd <= worker.seenEnds;
+    return worker.seen && worker.missedPolls == 0 && listsStored ? worker.seenEnds : end_number(0);
+}
+
 void sendPoll(const std::shared_ptr<cell_leader> &leader, const worker_id &id, const clock_reading &now)
 {
     cell_worker *worker = findWorker(*leader, id);
@@ -131,9 +140,7 @@
     }
     worker_poll poll;
     poll.fence = leader->fence;
-    // A worker that did not reply may have restarted. Its new incarnation numbers ends from the beginning, so the
-    // number of the earlier incarnation would make it discard ends that this leader has not seen.
-    poll.seenEnds = worker->seen && worker->missedPolls == 0 ? worker->seenEnds : end_number(0);
+    poll.seenEnds = endsToDiscard(*worker);
     poll.leaseUntil = grantLease(*leader, *worker, now);
     poll.wait = session->second.noWait || !worker->clock ? milliseconds(0) : pollWait;
     session->second.polling = true;
--- a/test/error/cell_failures.cpp
+++ b/test/error/cell_failures.cpp
@@ -283,6 +283,62 @@
     CHECK(cell.jobs[makeJobKey(9)].starts == 1);
 }
 
+namespace {
+
+/// A poll that is held up on its way to a worker.
+struct held_poll {
+    worker_target target;
+    worker_poll poll;
+    milliseconds limit{0};
+    worker_callback<worker_report> done;
+    std::function<void(const worker_target &, const worker_poll &, milliseconds, worker_callback<worker_report>)> send;
+};
+
+/// Holds the next poll of the daemon up. It arrives when its `send` is called, if that is before its time limit.
+std::shared_ptr<std::optional<held_poll>> holdNextPoll(simulated_cell &cell, std::size_t daemon)
+{
+    const auto held = std::make_shared<std::optional<held_poll>>();
+    worker_port &port = cell.daemons[daemon]->context->workers;
+    port.poll = [held, send = port.poll](const auto &target, const auto &poll, milliseconds limit, const auto &done) {
+        if (*held) {
+            send(target, poll, limit, done);
+        } else {
+            held->emplace(held_poll{target, poll, limit, done, send});
+        }
+    };
+    return held;
+}
+
+void deliver(const held_poll &held)
+{
+    held.send(held.target, held.poll, held.limit, held.done);
+}
+
+} // namespace
+
+TEST_CASE("a poll that is held up while its worker restarts discards no end of the new incarnation")
+{
+    // Each poll repeated the number of ends that the worker had discarded long before, and one of them reached a new
+    // incarnation, whose first end was then lost. The task ran a second time.
+    simulated_cell_settings settings;
+    settings.workers = 1;
+    simulated_cell cell(settings);
+    runFor(cell, 2000);
+    submitJob(cell, 0, makeJobKey(1), makeOneStepJob(1, 1, "50"));
+    REQUIRE(runUntil(cell, 2000, [&] { return isCompleted(cell, 1); }));
+    runFor(cell, 1500);
+    const auto held = holdNextPoll(cell, *leaderOf(cell));
+    REQUIRE(runUntil(cell, 1500, [&] { return held->has_value(); }));
+    cell.workers.front()->publishes = false;
+    restartWorker(cell, 0);
+    submitJob(cell, 0, makeJobKey(2), makeOneStepJob(1, 1, "50"));
+    REQUIRE(runUntil(cell, 1000, [&] { return !cell.workers.front()->ended.empty(); }));
+    deliver(**held);
+    CHECK(runUntil(cell, 4000, [&] { return isCompleted(cell, 2); }));
+    CHECK(cell.jobs[makeJobKey(2)].starts == 1);
+    CHECK(cell.violations.empty());
+}
+
 TEST_CASE("a worker whose time of day was set back before it restarted is used again")
 {
     // Its reports were ignored for good, since its life seemed to be earlier, and accepted jobs never ended. The crash
