Look at a worker before a start without a reply is repeated there

Cause: the leader learns of a restart from the worker's poll, which hangs in a cut for up to 1.6 s, while a start is repeated after 0.4 s. Ruled out: a comparison with the list alone, since the entry of the new incarnation may arrive later than the start. Change: the start is repeated only after a poll without a wait, a lease or an acknowledgement was answered by the incarnation that the run was placed on and does not list the run; otherwise the run is abandoned. A start is revoked if the worker's entry names another incarnation.

--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -304,6 +304,58 @@
     withdrawRun(leader->state, run, now);
 }
 
+bool listsRun(const worker_report &report, const placed_run &run)
+{
+    const run_task task = taskName(*run.job, run.position);
+    const auto isRun = [&](const auto &row) {
+        return row.task == task && row.run == run.run;
+    };
+    return std::any_of(report.running.begin(), report.running.end(), isRun)
+        || std::any_of(report.ended.begin(), report.ended.end(), isRun);
+}
+
+/// Handles the look at a worker that precedes a repeated start. The report is not applied, because it may overtake or
+/// be overtaken by that of the worker's poll.
+void handleLook(const std::shared_ptr<cell_leader> &leader,
+                const run_name &name,
+                const result<worker_report> &report,
+                const clock_reading &now)
+{
+    placed_run *run = closeOrder(*leader, name);
+    if (run == nullptr || run->begun || (report && stepDownIfFenced(*leader, report.value().refusal))) {
+        return;
+    }
+    const worker_incarnation placedOn = run->job->progress.tasks[run->position.value].incarnation;
+    const bool sameIncarnation =
+        report && report.value().refusal == order_refusal::None && report.value().incarnation == placedOn;
+    if (sameIncarnation && listsRun(report.value(), *run)) {
+        return;
+    }
+    if (sameIncarnation && run->state == run_state::Starting) {
+        sendStart(leader, *run, now);
+    } else {
+        abandonStart(leader->state, *run);
+    }
+}
+
+/// Repeats a start without a reply if its worker has not restarted: a new incarnation may be of another kind, and the
+/// worker's poll, which may be lost as well, shows the restart later than the start would arrive.
+void repeatStart(const std::shared_ptr<cell_leader> &leader, placed_run &run, const clock_reading &now)
+{
+    worker_poll look;
+    look.fence = leader->fence;
+    ++run.openOrders;
+    dispatchPoll(
+        leader,
+        *run.worker,
+        look,
+        orderLimit,
+        [leader, name = nameOf(run)](const result<worker_report> &report, const clock_reading &when) {
+            handleLook(leader, name, report, when);
+        },
+        now);
+}
+
 /// Handles a start without a reply: the order may have been executed, or may be executed later.
 void handleUnansweredStart(const std::shared_ptr<cell_leader> &leader,
                            placed_run &run,
@@ -331,7 +383,7 @@
     const bool firstLoss = !run.startUnknown;
     run.startUnknown = true;
     if (firstLoss && run.state == run_state::Starting) {
-        sendStart(leader, run, now);
+        repeatStart(leader, run, now);
     } else {
         abandonStart(leader->state, run);
     }
@@ -415,7 +467,8 @@
 const char *revocationReason(const placed_run &run)
 {
     const cell_worker &worker = *run.worker;
-    if (run.job->progress.tasks[run.position.value].incarnation != worker.current) {
+    const worker_incarnation placedOn = run.job->progress.tasks[run.position.value].incarnation;
+    if (placedOn != worker.current || (worker.listed && placedOn != worker.incarnation)) {
         // The new incarnation may be of another kind.
         return "restarted";
     }
--- a/test/error/cell_failures.cpp
+++ b/test/error/cell_failures.cpp
@@ -367,6 +367,36 @@
     CHECK(cell.violations.empty());
 }
 
+TEST_CASE("a start without a reply is not repeated at a worker that has restarted as another kind")
+{
+    // The task ran to its end on a worker without the required label.
+    simulated_cell_settings settings;
+    settings.workers = 2;
+    simulated_cell cell(settings);
+    for (std::size_t number = 0; number < 2; ++number) {
+        cell.workers[number]->labels = {"a"};
+        publishWorker(cell, number);
+    }
+    runFor(cell, 2000);
+    submitJob(cell, 0, makeJobKey(1), makeOneStepJob(1, 16, "6000"));
+    runFor(cell, 300);
+    const std::size_t idle = cell.workers[0]->running.empty() ? 0 : 1;
+    cell.workers[idle]->reachable = false;
+    stepped_job job = makeOneStepJob(1, 1, "300");
+    job.steps[0].requiredLabel = "a";
+    submitJob(cell, 0, makeJobKey(2), job);
+    runFor(cell, 200);
+    cell.workers[idle]->labels = {"b"};
+    cell.workers[idle]->publishes = false;
+    restartWorker(cell, idle);
+    runFor(cell, 100);
+    cell.workers[idle]->reachable = true;
+    runFor(cell, 1000);
+    publishWorker(cell, idle);
+    CHECK(runUntil(cell, 9000, [&] { return isCompleted(cell, 2); }));
+    CHECK(cell.violations.empty());
+}
+
 TEST_CASE("a run that its worker reports as running is not started elsewhere after the bound of its lease")
 {
     // No lease is extended during a long outage of the store, and a call that the leader does not count may have
