Share the set-up of two cases of cell_failures

Both cases fill one of two workers and go on with the other one; the set-up stood in both. No assertion changes. 44 cases pass, 527 assertions as before.

--- a/test/error/cell_failures.cpp
+++ b/test/error/cell_failures.cpp
@@ -311,6 +311,14 @@
     return held;
 }
 
+/// Fills one of two workers with the task of job 1 and returns the index of the other one.
+std::size_t occupyOneWorker(simulated_cell &cell, const std::string &payload)
+{
+    submitJob(cell, 0, makeJobKey(1), makeOneStepJob(1, 16, payload));
+    runFor(cell, 300);
+    return cell.workers[0]->running.empty() ? 0 : 1;
+}
+
 void deliver(const held_poll &held)
 {
     held.send(held.target, held.poll, held.limit, held.done);
@@ -349,9 +357,7 @@
     settings.workers = 2;
     simulated_cell cell(settings);
     runFor(cell, 2000);
-    submitJob(cell, 0, makeJobKey(1), makeOneStepJob(1, 16, "4000"));
-    runFor(cell, 300);
-    const std::size_t idle = cell.workers[0]->running.empty() ? 0 : 1;
+    const std::size_t idle = occupyOneWorker(cell, "4000");
     const auto held = holdNextPoll(cell, *leaderOf(cell), cell.workers[idle]->id);
     REQUIRE(runUntil(cell, 1500, [&] { return held->has_value(); }));
     cell.workers[idle]->publishes = false;
@@ -378,9 +384,7 @@
         publishWorker(cell, number);
     }
     runFor(cell, 2000);
-    submitJob(cell, 0, makeJobKey(1), makeOneStepJob(1, 16, "6000"));
-    runFor(cell, 300);
-    const std::size_t idle = cell.workers[0]->running.empty() ? 0 : 1;
+    const std::size_t idle = occupyOneWorker(cell, "6000");
     cell.workers[idle]->reachable = false;
     stepped_job job = makeOneStepJob(1, 1, "300");
     job.steps[0].requiredLabel = "a";
