Declare organisations, API keys and the organisation of a job

Cause: a cell's configuration, a caller's request and a stored job have no place for the organisation that a request belongs to, so that neither its key, its share nor its limit can be checked. Change: the types that the parts of this change share: the declaration of an organisation, the key of a request, the answer to a request without a valid key (401), the organisation of a stored job. Nothing sets or reads them yet, so cells without organisations are served as before.

--- a/packages/base/ids.h
+++ b/packages/base/ids.h
@@ -50,6 +50,10 @@
 using job_key = strong_value<struct job_key_tag, std::string>;
 /// Name of a queue, through which callers submit stepped jobs.
 using queue_id = strong_value<struct queue_id_tag, std::string>;
+/// Name of an organisation: one of the customers that share a cell.
+using organisation_id = strong_value<struct organisation_id_tag, std::string>;
+/// Secret that the callers of an organisation send with each request. Never logged.
+using api_key = strong_value<struct api_key_tag, std::string>;
 /// Name of a service: a pool of workers that run the tasks of certain queues.
 using service_id = strong_value<struct service_id_tag, std::string>;
 /// Position of a task in its job over all steps, from 0.
--- a/packages/connection/caller_port.h
+++ b/packages/connection/caller_port.h
@@ -43,6 +43,7 @@
 struct caller_request {
     std::string host; ///< Without port.
     std::string path;
+    api_key key; ///< Empty if the request carries none.
     milliseconds timeout{0}; ///< How long the caller waits for the answer.
     std::variant<status_call, submit_call, cancel_call, count_call> call;
 };
@@ -64,6 +65,9 @@
 /// No queue is configured for the host and path.
 struct no_such_queue {
 };
+/// The queue is not public and the request carries no API key that is valid for it.
+struct key_rejected {
+};
 /// The job does not exist.
 struct no_such_job {
 };
@@ -87,6 +91,7 @@
                                    job_cancelled,
                                    queue_count,
                                    no_such_queue,
+                                   key_rejected,
                                    no_such_job,
                                    call_refused,
                                    outcome_unknown,
--- a/packages/connection/cell_codec.cpp
+++ b/packages/connection/cell_codec.cpp
@@ -167,6 +167,9 @@
     writer.StartObject();
     writeNumber(writer, "acceptedAt", job.acceptedAt.value);
     writePolicy(writer, job.policy);
+    if (!job.organisation.value.empty()) {
+        writeText(writer, "organisation", job.organisation.value);
+    }
     if (job.payloadHolder) {
         writeText(writer, "payloadHolder", job.payloadHolder->value);
     } else {
@@ -193,6 +196,7 @@
     job.key = key;
     job.acceptedAt.value = object->number("acceptedAt", 0);
     job.policy = readPolicy(*object);
+    job.organisation.value = object->text("organisation");
     job.job.payload = object->text("payload");
     if (object->find("payloadHolder") != nullptr) {
         job.payloadHolder = daemon_id(object->text("payloadHolder"));
--- a/packages/connection/http_status.h
+++ b/packages/connection/http_status.h
@@ -5,6 +5,7 @@
 
 constexpr int ok = 200;
 constexpr int badRequest = 400;
+constexpr int unauthorized = 401;
 constexpr int notFound = 404;
 constexpr int notAllowed = 405;
 constexpr int conflict = 409;
--- a/packages/request/accepted_job.h
+++ b/packages/request/accepted_job.h
@@ -14,6 +14,7 @@
     stepped_job job;
     queue_policy policy; ///< Policy of the job's queue at acceptance.
     utc_time acceptedAt;
+    organisation_id organisation; ///< Empty in a cell without organisations and for a job of a public queue.
     /// Daemon that has the payload if it is stored under a key of its own; `job.payload` is empty then.
     std::optional<daemon_id> payloadHolder;
 };
--- a/packages/version/cell_configuration.h
+++ b/packages/version/cell_configuration.h
@@ -1,9 +1,10 @@
-// One version of a cell's configuration as the platform declares it: the queues, the policy of each queue, and the
-// services that run their work. Immutable once published.
+// One version of a cell's configuration as the platform declares it: the queues, the policy of each queue, the services
+// that run their work, and the organisations that share the cell. Immutable once published.
 #pragma once
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "base/units.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -38,6 +39,17 @@
     std::string host; ///< Value of the Host field, without port.
     std::string pathPrefix;
     queue_policy policy;
+    bool isPublic = false; ///< Requests need no API key, also if the configuration declares organisations.
+};
+
+/// An organisation that shares the cell with others.
+struct organisation_declaration {
+    organisation_id name;
+    std::vector<api_key> keys; ///< Any of them identifies a request as one of the organisation's.
+    /// Jobs per second that the organisation may submit at the service level of its queues, and its relative share of
+    /// the cell while the cell is full.
+    double weight = 0;
+    resources limit; ///< Limit for all running tasks of the organisation together; 0 in a component: no limit.
 };
 
 /// A pool of workers.
@@ -51,6 +63,8 @@
     config_version version;
     std::vector<queue_declaration> queues;
     std::vector<service_declaration> services;
+    /// Empty in a cell that belongs to one organisation; its requests need no API key.
+    std::vector<organisation_declaration> organisations;
 };
 
 /// Shared ownership; a version is freed with its last user.
@@ -60,4 +74,10 @@
 const queue_declaration *
 findQueue(const cell_configuration &configuration, std::string_view host, std::string_view path);
 
+/// Returns the organisation that the API key belongs to, or null.
+const organisation_declaration *findOrganisation(const cell_configuration &configuration, const api_key &key);
+
+/// Returns the organisation of that name, or null.
+const organisation_declaration *findOrganisation(const cell_configuration &configuration, const organisation_id &name);
+
 } // namespace sesamespar
