Check API keys, enforce limits and shares of organisations, order by remaining work

Cause: in a cell that organisations share, a call with an unknown or withdrawn key was served, what an organisation ran was not counted, and its jobs beyond its weight delayed those of the others. In bursts the order by latest starts works on jobs that are about to be late.

--- a/packages/connection/caller_port.h
+++ b/packages/connection/caller_port.h
@@ -71,10 +71,17 @@
 /// The job does not exist.
 struct no_such_job {
 };
+/// Why a call was refused.
+enum class refusal_cause {
+    Unavailable, ///< The daemon cannot serve the call, for example because the store is down.
+    Load, ///< The cell or the organisation has too much work.
+};
+
 /// The call had no effect and will have none; the caller may retry after `retryAfter`.
 struct call_refused {
     std::string reason;
     milliseconds retryAfter{0};
+    refusal_cause cause = refusal_cause::Unavailable;
 };
 /// The call may or may not have taken effect; the caller should query the job again.
 struct outcome_unknown {
--- a/packages/connection/cell_metrics.h
+++ b/packages/connection/cell_metrics.h
@@ -11,6 +11,7 @@
 constexpr std::string_view jobsRefused = "job_answers{outcome=\"refused\"}";
 constexpr std::string_view jobsUnknown = "job_answers{outcome=\"unknown\"}";
 constexpr std::string_view jobsMalformed = "job_answers{outcome=\"malformed\"}";
+constexpr std::string_view keysRejected = "requests_with_rejected_key";
 constexpr std::string_view noQueue = "requests_without_queue";
 constexpr std::string_view storeLostRefusals = "store_lost_refusals";
 constexpr std::string_view jobsRelayed = "jobs_relayed";
--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -161,6 +161,9 @@
             concede(*daemon.election, reason);
         },
         now);
+    if (daemon.configuration) {
+        adoptConfiguration(*daemon.leader, *daemon.configuration);
+    }
     updateLeader(daemon, now);
 }
 
@@ -193,8 +196,12 @@
     log_event("configuration")
         .with("version", configuration->version)
         .with("queues", configuration->queues.size())
-        .with("services", configuration->services.size());
+        .with("services", configuration->services.size())
+        .with("organisations", configuration->organisations.size());
     daemon.configuration = configuration;
+    if (daemon.leader) {
+        adoptConfiguration(*daemon.leader, *configuration);
+    }
 }
 
 void finishDrainIfIdle(cell_daemon &daemon, const clock_reading &now)
--- a/packages/process/cell_requests.cpp
+++ b/packages/process/cell_requests.cpp
@@ -5,6 +5,9 @@
 #include "process/job_queries.h"
 #include "term/advice_dispatch.h"
 #include "term/cell_recovery.h"
+#include "version/organisation_check.h"
+
+#include <algorithm>
 
 namespace sesamespar {
 
@@ -13,12 +16,30 @@
 /// Retry-After of requests that arrive before the first configuration was read.
 constexpr milliseconds startRetryAfter{1000};
 
+/// Retry-After of jobs that exceed the limit of their organisation; only a new configuration can change that.
+constexpr milliseconds limitRetryAfter{60000};
+
 /// Part of the path after the queue's prefix.
 std::string pathAfterQueue(const caller_request &request, const queue_declaration &queue)
 {
     return request.path.substr(queue.pathPrefix.size());
 }
 
+/// Returns a step of the job that can never run because its gang, or one of its tasks, alone exceeds the limit of the
+/// organisation, or null. Steps without a gang run in waves.
+const job_step *
+findStepAboveLimit(const cell_configuration &configuration, const organisation_id &organisation, const stepped_job &job)
+{
+    const organisation_declaration *declared = findOrganisation(configuration, organisation);
+    if (declared == nullptr) {
+        return nullptr;
+    }
+    const auto found = std::find_if(job.steps.begin(), job.steps.end(), [declared](const job_step &step) {
+        return exceedsLimit(declared->limit, step.need, step.gang ? step.count : 1);
+    });
+    return found == job.steps.end() ? nullptr : &*found;
+}
+
 /// Counts a request as open until its callback runs.
 caller_done countWhileOpen(cell_daemon &daemon, caller_done done)
 {
@@ -40,6 +61,7 @@
                const caller_request &request,
                const submit_call &call,
                const queue_declaration &queue,
+               const organisation_id &organisation,
                const job_key &key,
                caller_done done,
                const clock_reading &now)
@@ -58,10 +80,22 @@
             .with("pending", load->second.pending)
             .with("retry_after_ms", load->second.retryAfter.count());
         addCount(*daemon.context.counters, cell_metrics::jobsRefused);
-        done(call_refused{"the queue is full", load->second.retryAfter});
+        done(call_refused{"the queue is full", load->second.retryAfter, refusal_cause::Load});
         return;
     }
-    accepted_job job{key, call.job, queue.policy, now.utc};
+    if (const job_step *step = findStepAboveLimit(*daemon.configuration, organisation, call.job)) {
+        log_event("job_above_limit")
+            .with("job", key)
+            .with("queue", queue.policy.queue)
+            .with("organisation", organisation)
+            .with("tasks", step->count)
+            .with("task_millicores", step->need.processors);
+        addCount(*daemon.context.counters, cell_metrics::jobsRefused);
+        done(call_refused{
+            "a step of the job exceeds the limit of its organisation", limitRetryAfter, refusal_cause::Load});
+        return;
+    }
+    accepted_job job{key, call.job, queue.policy, now.utc, organisation};
     if (!daemon.intake->storeLost) {
         enqueueJob(*daemon.intake, std::move(job), request.timeout, countWhileOpen(daemon, std::move(done)), now);
     } else if (canRelay(*daemon.relay, now)) {
@@ -248,6 +282,17 @@
         done(no_such_queue{});
         return;
     }
+    const auto organisation = identifyOrganisation(*daemon.configuration, *queue, request.key);
+    if (!organisation) {
+        addCount(*daemon.context.counters, cell_metrics::keysRejected);
+        log_event("key_rejected")
+            .with("path", request.path)
+            .with("queue", queue->policy.queue)
+            .with("has_key", !request.key.value.empty())
+            .with("version", daemon.configuration->version);
+        done(key_rejected{});
+        return;
+    }
     const std::string rest = pathAfterQueue(request, *queue);
     if (std::holds_alternative<count_call>(request.call)
         || (rest.empty() && std::holds_alternative<status_call>(request.call))) {
@@ -263,7 +308,7 @@
     if (std::holds_alternative<status_call>(request.call)) {
         answerStatus(daemon, key, request.timeout, countWhileOpen(daemon, std::move(done)), now);
     } else if (const auto *submit = std::get_if<submit_call>(&request.call)) {
-        submitJob(daemon, request, *submit, *queue, key, std::move(done), now);
+        submitJob(daemon, request, *submit, *queue, *organisation, key, std::move(done), now);
     } else if (daemon.intake->storeLost) {
         refuseWithoutStore(daemon, key, done);
     } else {
--- a/packages/term/cell_leader.cpp
+++ b/packages/term/cell_leader.cpp
@@ -5,6 +5,8 @@
 #include "term/cell_recovery.h"
 #include "term/job_placement.h"
 #include "term/load_report.h"
+#include "term/organisation_usage.h"
+#include "term/policy_selection.h"
 #include "term/progress_writer.h"
 #include "term/worker_sessions.h"
 
@@ -35,7 +37,7 @@
 /// Runs a placement pass unless the previous one was too recent; a timer then triggers it.
 void placeIfDue(const std::shared_ptr<cell_leader> &leader, const clock_reading &now)
 {
-    if (!leader->placementDue || !leader->workersListed) {
+    if (!leader->placementDue || !leader->workersListed || !leader->configured) {
         return;
     }
     if (now.uptime < leader->nextPlacementAt) {
@@ -60,6 +62,19 @@
     }
 }
 
+void updatePolicy(cell_state &state)
+{
+    const cell_policy before = state.policy;
+    state.policy = selectPolicy(policyInputs(state));
+    if (state.policy.ties != before.ties) {
+        log_event("policy_selected")
+            .with("organisations", state.organisations.size())
+            .with("uneven_workers", state.unevenWorkers)
+            .with("least_work_first", state.policy.ties == tie_order::LeastWork)
+            .with("reserved_share", state.policy.reservedShare);
+    }
+}
+
 void runUpkeep(const std::shared_ptr<cell_leader> &leader, const clock_reading &now)
 {
     if (leader->ended) {
@@ -67,6 +82,7 @@
     }
     recordWaits(*leader);
     leader->state.startDelayMs *= startDelayDecay;
+    updatePolicy(leader->state);
     checkExecutors(leader, now);
     if (leader->ended) {
         return;
@@ -156,6 +172,14 @@
     return isFinal(job.progress.phase) && !stored ? job_phase::Running : job.progress.phase;
 }
 
+void adoptConfiguration(cell_leader &leader, const cell_configuration &configuration)
+{
+    leader.configured = true;
+    applyOrganisations(leader.state, configuration);
+    updatePolicy(leader.state);
+    leader.placementDue = true;
+}
+
 void setDaemons(cell_leader &leader, const std::map<daemon_id, address> &daemons, const clock_reading &now)
 {
     setExecutors(leader, daemons, now);
--- a/packages/term/cell_leader.h
+++ b/packages/term/cell_leader.h
@@ -84,6 +84,7 @@
     cell_state state;
     bool recovered = false; ///< All jobs and their progress have been read.
     bool workersListed = false;
+    bool configured = false; ///< A configuration was adopted; without one the limits of organisations are unknown.
     bool ended = false;
     time_point termConfirmedAt; ///< When the latest applied transaction was sent, in uptime.
 
@@ -130,6 +131,9 @@
 /// the jobs have not been read yet.
 std::optional<job_phase> visiblePhase(const cell_leader &leader, const job_key &key);
 
+/// Adopts a version of the configuration: the organisations with their limits and shares.
+void adoptConfiguration(cell_leader &leader, const cell_configuration &configuration);
+
 /// Sets the daemons that serve as advice proxies, besides the leader itself, and as executors.
 void setDaemons(cell_leader &leader, const std::map<daemon_id, address> &daemons, const clock_reading &now);
 
--- a/packages/term/cell_policy.h
+++ b/packages/term/cell_policy.h
@@ -13,17 +13,29 @@
     Arrival, ///< First in, first out.
 };
 
+/// Order of waiting steps of the same rank and priority.
+enum class tie_order {
+    LatestStart, ///< The least time left until the latest start that meets the objective.
+    LeastWork, ///< The least remaining work of the job.
+};
+
 /// Order in which workers with free capacity are tried.
 enum class worker_order {
     LeastFreeCapacity, ///< Best fit: the fullest worker that fits, to keep large blocks of capacity free.
     Name, ///< First fit by name.
 };
 
-/// The settings. A cell uses the defaults.
+/// The settings. A cell uses the defaults unless selectPolicy chooses others.
 struct cell_policy {
     /// Addresses bursts of more work than the cell has capacity for: jobs that are late anyway must not delay the
     /// others.
     work_order order = work_order::DeadlineForecast;
+    /// Addresses load above the capacity for longer than the objectives allow: the order of latest starts then works on
+    /// jobs that are about to be late, while the least remaining work completes the most jobs in time.
+    tie_order ties = tie_order::LatestStart;
+    /// Share of the cell's processors that overdue and surplus jobs leave free. Addresses bursts after which a backlog
+    /// of overdue work fills the capacity that later jobs need to be in time.
+    double reservedShare = 0;
     /// Addresses gangs several times as large as a worker among many small tasks.
     worker_order workers = worker_order::LeastFreeCapacity;
     /// Largest total need of the gangs, in the order of placement, for which freed capacity is reserved until they can
--- a/packages/term/cell_state.cpp
+++ b/packages/term/cell_state.cpp
@@ -1,5 +1,7 @@
 #include "term/cell_state.h"
 
+#include "term/organisation_usage.h"
+
 #include <algorithm>
 
 namespace sesamespar {
@@ -63,6 +65,7 @@
         }
     }
     job->history = &state.history[job->accepted.policy.queue];
+    assignOrganisation(state, *job);
     state.jobs[job->accepted.key] = job;
     considerWaiting(state, *job);
     return job;
--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -120,6 +120,8 @@
     std::vector<cell_step> steps;
     std::vector<placed_run *> runs; ///< By position; null if nothing is placed.
     struct queue_history *history = nullptr; ///< Of the job's queue.
+    struct organisation_usage *organisation = nullptr; ///< Null if the job belongs to none.
+    bool surplus = false; ///< Submitted beyond the weight of its organisation.
     waiting_hook waitingHook;
     bool cancelled = false; ///< The caller has cancelled the job.
     bool begun = false; ///< A worker has begun one of its tasks; see markBegun.
@@ -147,6 +149,19 @@
     double suitableShare = 0.5; ///< Moving mean of the share of workers that may run a step.
 };
 
+/// Use of a cell by one organisation, its limit and its share.
+struct organisation_usage {
+    bool declared = false; ///< In the newest configuration. Otherwise it has neither a limit nor a share.
+    double weight = 0; ///< See organisation_declaration.
+    resources limit; ///< 0 in a component: no limit.
+    resources reserved; ///< By all runs of its jobs that have not provably ended.
+    std::map<std::int64_t, std::uint32_t> submitted; ///< Number of jobs by the second of their acceptance.
+    /// Part of the limit that the pass in progress keeps for a gang that does not fit into it at present.
+    resources kept;
+    bool active = false; ///< It has waiting jobs or runs in the pass in progress.
+    bool aboveShare = false; ///< It uses more of the cell than its weight entitles it to.
+};
+
 /// End of a run that the worker may discard after the change of the job is stored.
 struct unstored_end {
     end_number number;
@@ -163,7 +178,9 @@
     std::unordered_map<job_key, cell_job_ptr> jobs; ///< Non-final jobs, and final ones with runs or unstored changes.
     std::map<worker_id, std::map<end_number, unstored_end>> ends;
     std::map<queue_id, queue_history> history;
+    std::map<organisation_id, organisation_usage> organisations;
     waiting_list waiting; ///< Contains every job with waiting tasks, and others until the next placement pass.
+    bool unevenWorkers = false; ///< The sustained speeds of the workers differ by a factor of two or more.
     double meanSpeed = 1; ///< Moving mean over all workers; corrects estimates that are off in one direction.
     double startDelayMs = 0; ///< Moving mean of the time from the placement of a run to its start.
     bool stopsRequested = false; ///< Some run may need a stop that has not been sent.
--- a/packages/term/free_capacity.cpp
+++ b/packages/term/free_capacity.cpp
@@ -27,6 +27,7 @@
             free.usable.set(slot);
             free.remaining[slot] = freeCapacity(*worker);
             free.largest = largestOf(free.largest, free.remaining[slot]);
+            free.available = free.available + free.remaining[slot];
             free.total = free.total + worker->capacity;
         }
     }
--- a/packages/term/free_capacity.h
+++ b/packages/term/free_capacity.h
@@ -13,6 +13,7 @@
     std::vector<resources> remaining; ///< By slot; zero for a worker that accepts no runs.
     worker_set usable; ///< Workers that accept runs.
     resources largest; ///< The largest amount of each resource that any worker has at the begin of the pass.
+    resources available; ///< Sum of `remaining` at the begin of the pass, less what the pass has placed since.
     resources total; ///< Capacity of all workers that accept runs, free or not.
 };
 
--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "term/advice_selection.h"
 #include "term/free_capacity.h"
+#include "term/organisation_usage.h"
 #include "term/run_lifecycle.h"
 #include "term/waiting_steps.h"
 
@@ -310,6 +311,7 @@
         const run_number run = declared.gang ? gangRun : nextRun(job, tasks[index].value, 1);
         pass.outcome.placed.push_back(&placeRun(pass.state, job, tasks[index], run, *places[index].worker, pass.now));
         deductCapacity(pass, {places[index]}, declared.need);
+        pass.free.available = pass.free.available - declared.need;
         ++taken[places[index].worker->id];
         ++placed;
     }
@@ -319,6 +321,23 @@
     return placed;
 }
 
+/// Number of waiting tasks, at most `wanted`, that may start now: within the limit of the job's organisation and, for
+/// work that gains nothing from a start now, outside the capacity that is reserved for arriving work. More than half of
+/// a cell is never reserved, so that work always starts in a cell with little load.
+std::size_t tasksAllowed(const placement_pass &pass, const waiting_step &waiting, std::size_t wanted)
+{
+    const resources &need = waiting.declared().need;
+    auto allowed = tasksWithinLimit(*waiting.job, need, static_cast<std::int64_t>(wanted));
+    const std::int64_t available = pass.free.available.processors.value;
+    const std::int64_t total = pass.free.total.processors.value;
+    if (pass.state.policy.reservedShare > 0 && isDeferrable(waiting) && 2 * available < total) {
+        const auto reserved = static_cast<std::int64_t>(pass.state.policy.reservedShare * static_cast<double>(total));
+        const std::int64_t each = std::max<std::int64_t>(need.processors.value, 1);
+        allowed = std::min(allowed, std::max<std::int64_t>(available - reserved, 0) / each);
+    }
+    return static_cast<std::size_t>(allowed);
+}
+
 /// True if the capacity that is free on the workers of a gang may be kept until there is enough for all tasks.
 bool mayGather(const placement_pass &pass, const waiting_step &waiting)
 {
@@ -339,6 +358,13 @@
 {
     const job_step &declared = waiting.declared();
     const std::size_t wanted = countWaiting(waiting);
+    if (tasksAllowed(pass, waiting, wanted) < wanted) {
+        if (tasksWithinLimit(*waiting.job, declared.need, static_cast<std::int64_t>(wanted))
+            < static_cast<std::int64_t>(wanted)) {
+            keepLimit(*waiting.job, declared.need * static_cast<std::int64_t>(wanted));
+        }
+        return;
+    }
     const std::vector<candidate> candidates = listCandidates(pass, waiting);
     const std::vector<candidate> places = choosePlaces(candidates, wanted);
     if (places.size() < wanted) {
@@ -368,7 +394,10 @@
 /// Places as many tasks of a step as fit.
 void placeSingles(placement_pass &pass, const waiting_step &waiting)
 {
-    const std::size_t wanted = countWaiting(waiting);
+    const std::size_t wanted = tasksAllowed(pass, waiting, countWaiting(waiting));
+    if (wanted == 0) {
+        return;
+    }
     const std::vector<candidate> candidates = listCandidates(pass, waiting);
     std::vector<candidate> places = choosePlaces(candidates, wanted);
     const std::size_t placed = placeTasks(pass, waiting, places);
@@ -394,6 +423,7 @@
 placement_outcome placeWaiting(cell_state &state, advice_capacity capacity, const clock_reading &now)
 {
     placement_pass pass{state, now, measureFree(state, now.uptime), capacity, {}};
+    updateShares(state, pass.free.total);
     for (const waiting_step &waiting : collectWaiting(state, now.utc)) {
         if (waiting.declared().gang) {
             placeGang(pass, waiting);
--- /dev/null
+++ b/packages/term/organisation_usage.h
@@ -0,0 +1,32 @@
+// Use of the cell by each organisation, against its limit and its share.
+#pragma once
+
+#include "term/cell_state.h"
+
+namespace sesamespar {
+
+/// Adopts the organisations of a configuration. One that is no longer declared keeps its use until its runs have ended.
+void applyOrganisations(cell_state &state, const cell_configuration &configuration);
+
+/// Assigns a new job to the use of its organisation and determines whether it is surplus: beyond the number of jobs
+/// per second that the weight allows. Addresses an organisation that submits several times its usual rate, whose jobs
+/// would otherwise delay those of all others.
+void assignOrganisation(cell_state &state, cell_job &job);
+
+/// Adds the need of a run to the use of the job's organisation, if it has one.
+void reserveUse(const cell_job &job, const resources &need);
+
+/// Subtracts the need of a run that has provably ended.
+void releaseUse(const cell_job &job, const resources &need);
+
+/// Updates which organisations use more than their share of the cell's processors, at the begin of a placement pass.
+/// The cell is shared by the organisations that have waiting jobs or runs, in proportion to their weights.
+void updateShares(cell_state &state, const resources &total);
+
+/// Number of tasks of that need, at most `wanted`, that are within the limit of the job's organisation.
+std::int64_t tasksWithinLimit(const cell_job &job, const resources &need, std::int64_t wanted);
+
+/// Keeps a part of the organisation's limit for a gang during the pass, so that its smaller steps do not use all of it.
+void keepLimit(const cell_job &job, const resources &need);
+
+} // namespace sesamespar
--- a/packages/term/run_lifecycle.cpp
+++ b/packages/term/run_lifecycle.cpp
@@ -1,6 +1,7 @@
 #include "term/run_lifecycle.h"
 
 #include "base/log.h"
+#include "term/organisation_usage.h"
 
 #include <algorithm>
 
@@ -110,6 +111,7 @@
 {
     cell_job &job = *run.job;
     run.worker->reserved = run.worker->reserved - run.need;
+    releaseUse(job, run.need);
     run.worker->runs.erase(run.worker->runs.iterator_to(run));
     job.runs[run.position.value] = nullptr;
     --job.steps[stepOf(job, run.position)].placed;
@@ -168,6 +170,7 @@
     placed->need = job.accepted.job.steps[step].need;
     placed->placedAt = now.uptime;
     worker.reserved = worker.reserved + placed->need;
+    reserveUse(job, placed->need);
     worker.runs.push_back(*placed);
     job.runs[position.value] = placed;
     ++job.steps[step].placed;
--- a/packages/term/waiting_steps.cpp
+++ b/packages/term/waiting_steps.cpp
@@ -10,9 +10,13 @@
 /// late.
 constexpr int urgentPriority = 0;
 
-/// Coarse order: urgent jobs and jobs that can be in time, then late ones, then overdue ones.
+/// Coarse order: urgent jobs and jobs that can be in time, then late ones, then overdue ones, then surplus ones.
 int rankOf(const waiting_step &waiting)
 {
+    constexpr int surplusRank = 3;
+    if (waiting.job->surplus) {
+        return surplusRank;
+    }
     if (waiting.forecast.prospect == job_prospect::Overdue) {
         return 2;
     }
@@ -27,6 +31,11 @@
     return leftArrival != rightArrival ? leftArrival < rightArrival : left.job->accepted.key < right.job->accepted.key;
 }
 
+bool isAboveShare(const waiting_step &waiting)
+{
+    return waiting.job->organisation != nullptr && waiting.job->organisation->aboveShare;
+}
+
 bool isAhead(const waiting_step &left, const waiting_step &right)
 {
     if (rankOf(left) != rankOf(right)) {
@@ -37,6 +46,12 @@
     if (leftPriority != rightPriority) {
         return leftPriority < rightPriority;
     }
+    if (isAboveShare(left) != isAboveShare(right)) {
+        return isAboveShare(right);
+    }
+    if (left.remainingWork != right.remainingWork) {
+        return left.remainingWork < right.remainingWork;
+    }
     if (left.forecast.latestStart != right.forecast.latestStart) {
         return left.forecast.latestStart < right.forecast.latestStart;
     }
@@ -61,6 +76,18 @@
     return entry.done + entry.placed < entry.count;
 }
 
+/// Work that is left of a job, in core-milliseconds.
+double remainingWorkOf(const cell_state &state, const cell_job &job)
+{
+    double work = 0;
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+        const auto tasks = static_cast<double>(job.steps[step].count - job.steps[step].done);
+        const auto cores = static_cast<double>(job.accepted.job.steps[step].need.processors.value) / 1000;
+        work += tasks * cores * static_cast<double>(expectedDuration(state, job, step).count());
+    }
+    return work;
+}
+
 /// Appends the waiting steps of a job. Returns false if it has none.
 bool appendSteps(const cell_state &state, cell_job &job, utc_time now, std::vector<waiting_step> &waiting)
 {
@@ -68,14 +95,16 @@
         return false;
     }
     std::optional<deadline_forecast> forecast;
+    double work = 0;
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
         if (!hasWaiting(job, step) || !isReady(job, step)) {
             continue;
         }
         if (!forecast) {
             forecast = forecastDeadline(state, job, now);
+            work = state.policy.ties == tie_order::LeastWork ? remainingWorkOf(state, job) : 0;
         }
-        waiting.push_back({&job, step, *forecast});
+        waiting.push_back({&job, step, *forecast, work});
     }
     return forecast.has_value();
 }
@@ -98,6 +127,11 @@
     return waiting;
 }
 
+bool isDeferrable(const waiting_step &waiting)
+{
+    return waiting.job->surplus || waiting.forecast.prospect == job_prospect::Overdue;
+}
+
 std::size_t countWaiting(const waiting_step &waiting)
 {
     const cell_step &step = waiting.state();
--- a/packages/term/waiting_steps.h
+++ b/packages/term/waiting_steps.h
@@ -11,6 +11,7 @@
     cell_job *job = nullptr;
     std::uint32_t step = 0;
     deadline_forecast forecast;
+    double remainingWork = 0; ///< In core-milliseconds, of the whole job; 0 unless the policy orders by it.
 
     [[nodiscard]] const job_step &declared() const
     {
@@ -24,10 +25,14 @@
 };
 
 /// Returns the waiting steps in the order of their value to the callers: jobs that can meet their objective before late
-/// ones, urgent queues before others, then those with the least time left. Unlinks jobs without waiting steps from the
+/// ones and surplus ones last, urgent queues before others, organisations below their share before those above it, then
+/// by the tie order of the policy. Unlinks jobs without waiting steps from the
 /// list of the state.
 std::vector<waiting_step> collectWaiting(cell_state &state, utc_time now);
 
+/// True if the job gains nothing from a start now instead of later: it is overdue, or beyond its organisation's weight.
+bool isDeferrable(const waiting_step &waiting);
+
 /// Number of the waiting tasks of a step.
 std::size_t countWaiting(const waiting_step &waiting);
 
