Learn run times and sustained speeds, and match tasks to uneven workers

Cause: a step with little slack is late from its start on a slow worker, and the expected duration of a task is one mean a queue, which neither estimates that are off nor durations with a tail fit. Change: a model of each queue's durations combines earlier durations, the caller's estimate and the ended tasks of the same step by how well each has predicted; a sustained speed of each worker comes from its reports and its finished runs.

--- a/packages/term/cell_leader.cpp
+++ b/packages/term/cell_leader.cpp
@@ -8,6 +8,7 @@
 #include "term/organisation_usage.h"
 #include "term/policy_selection.h"
 #include "term/progress_writer.h"
+#include "term/sustained_speed.h"
 #include "term/worker_sessions.h"
 
 namespace sesamespar {
@@ -82,6 +83,7 @@
     }
     recordWaits(*leader);
     leader->state.startDelayMs *= startDelayDecay;
+    assessUnevenness(leader->state);
     updatePolicy(leader->state);
     checkExecutors(leader, now);
     if (leader->ended) {
--- a/packages/term/cell_policy.h
+++ b/packages/term/cell_policy.h
@@ -19,6 +19,12 @@
     LeastWork, ///< The least remaining work of the job.
 };
 
+/// Expectation of the duration of a task.
+enum class duration_source {
+    EstimateAndMean, ///< The caller's estimate and the mean of the queue's tasks, weighted by `estimateWeight`.
+    Learned, ///< What the queue's finished runs have shown; see run_time_model.h.
+};
+
 /// Order in which workers with free capacity are tried.
 enum class worker_order {
     LeastFreeCapacity, ///< Best fit: the fullest worker that fits, to keep large blocks of capacity free.
@@ -44,6 +50,11 @@
     double gatheringShare = 0.15;
     /// Number of gangs for which freed capacity is reserved even if they need more than that share.
     std::size_t minGatheringGangs = 2;
+    /// Addresses estimates whose errors differ between queues, durations with a tail, and overload, under which the
+    /// order of the work depends on its size.
+    duration_source durations = duration_source::EstimateAndMean;
+    /// Addresses uneven workers; see sustained_speed.h.
+    bool matchesSpeeds = false;
     /// Weight of the caller's estimate of a duration against the mean of the queue's tasks. Addresses estimates that
     /// are off by up to nine tenths. The durations of a queue's tasks spread by about half of their mean, so the mean
     /// is about as accurate as an estimate.
--- a/packages/term/cell_state.cpp
+++ b/packages/term/cell_state.cpp
@@ -122,8 +122,13 @@
     }
 }
 
-void markBegun(cell_state &state, cell_job &job, const clock_reading &now)
+void markBegun(cell_state &state, placed_run &run, const clock_reading &now)
 {
+    if (!run.begun && run.state != run_state::Stopping && !run.startUnknown) {
+        run.begunAt = now.uptime;
+    }
+    run.begun = true;
+    cell_job &job = *run.job;
     if (!job.begun) {
         job.begun = true;
         state.waits.emplace_back(milliseconds(now.utc.value - job.accepted.acceptedAt.value));
--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -8,6 +8,7 @@
 #include "request/accepted_job.h"
 #include "request/job_progress.h"
 #include "term/cell_policy.h"
+#include "term/run_time_model.h"
 #include "term/step_advice.h"
 
 #include <boost/intrusive/list.hpp>
@@ -48,6 +49,9 @@
     bool sent = false; ///< A start was sent, by this term or an earlier one.
     bool startUnknown = false; ///< A start got no reply and may still take effect.
     bool begun = false; ///< A reply or a report has shown that the worker has begun the run.
+    std::optional<time_point>
+        begunAt; ///< When the leader learned of it, in uptime; empty for a run of an earlier term.
+    bool resumed = false; ///< Started from a checkpoint, so its duration is not that of the whole task.
     unsigned openOrders = 0; ///< Calls about this run that are in progress.
     bool stopAccepted = false; ///< The worker has accepted a stop, so the run can no longer begin.
     /// A report of the worker's current incarnation has listed the run. Otherwise the run may belong to a later
@@ -90,6 +94,8 @@
     run_list runs;
     worker_record record;
     double speed = 1; ///< Moving mean of the speeds of its runs; see worker_speed.h.
+    double logSpeed = 0; ///< Logarithm of its sustained speed relative to the cell's mean; see sustained_speed.h.
+    std::uint32_t speedSamples = 0;
 
     unsigned orphanRuns = 0; ///< Reported runs that this term did not place on the worker.
     std::optional<milliseconds> clock; ///< The last reading of its clock.
@@ -111,6 +117,7 @@
     std::uint32_t placed = 0; ///< Tasks with a run that has not provably ended.
     step_advice advice; ///< What the advisor has said about the workers for this step.
     run_number failedRun; ///< Latest run of a gang that was counted as a failure.
+    step_durations durations; ///< Of its tasks that have ended.
 };
 
 /// A job that is not final, or that still has runs or unstored changes.
@@ -146,6 +153,7 @@
 /// What was learned from the earlier jobs of a queue.
 struct queue_history {
     double meanMs = 0; ///< Moving mean of the durations of tasks; 0 before the first sample.
+    run_time_model runTimes;
     double suitableShare = 0.5; ///< Moving mean of the share of workers that may run a step.
 };
 
@@ -180,6 +188,7 @@
     std::map<queue_id, queue_history> history;
     std::map<organisation_id, organisation_usage> organisations;
     waiting_list waiting; ///< Contains every job with waiting tasks, and others until the next placement pass.
+    double meanLogSpeed = 0; ///< Moving mean of the logarithms of all measured speeds; see sustained_speed.h.
     bool unevenWorkers = false; ///< The sustained speeds of the workers differ by a factor of two or more.
     double meanSpeed = 1; ///< Moving mean over all workers; corrects estimates that are off in one direction.
     double startDelayMs = 0; ///< Moving mean of the time from the placement of a run to its start.
@@ -220,8 +229,8 @@
 /// Counts a change of the job's progress and queues the progress for writing.
 void markChanged(cell_state &state, cell_job &job);
 
-/// Marks that a worker has begun one of the job's tasks. The first call records the wait of the job.
-void markBegun(cell_state &state, cell_job &job, const clock_reading &now);
+/// Marks that the worker has begun a run. The first call for a job records the job's wait.
+void markBegun(cell_state &state, placed_run &run, const clock_reading &now);
 
 /// Updates the mean time from the placement of a run to its start.
 void recordStartDelay(cell_state &state, const placed_run &run, const clock_reading &now);
--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -5,6 +5,7 @@
 #include "term/free_capacity.h"
 #include "term/organisation_usage.h"
 #include "term/run_lifecycle.h"
+#include "term/sustained_speed.h"
 #include "term/waiting_steps.h"
 
 #include <algorithm>
@@ -59,6 +60,7 @@
     ticket_state ticket = ticket_state::Valid;
     time_point validUntil; ///< Of the ticket, in uptime.
     bool remote = false; ///< The step's data is in another rack.
+    int speedRank = 0; ///< See sustained_speed.h; 0 unless the policy matches speeds.
     bool failedHere = false; ///< The latest run of a waiting task of the step failed on the worker.
 };
 
@@ -92,7 +94,7 @@
 }
 
 /// Order of preference: rack of the step's data, no failure of a waiting task on the worker, the state of the ticket,
-/// and least free capacity, which keeps large blocks of capacity free.
+/// the match of the worker's speed, and least free capacity, which keeps large blocks of capacity free.
 bool isPreferred(const placement_pass &pass, const candidate &left, const candidate &right)
 {
     if (left.remote != right.remote) {
@@ -104,6 +106,9 @@
     if (left.ticket != right.ticket) {
         return left.ticket < right.ticket;
     }
+    if (left.speedRank != right.speedRank) {
+        return left.speedRank < right.speedRank;
+    }
     const millicores leftFree = pass.free.remaining[left.worker->slot.value].processors;
     const millicores rightFree = pass.free.remaining[right.worker->slot.value].processors;
     if (pass.state.policy.workers == worker_order::LeastFreeCapacity && leftFree != rightFree) {
@@ -128,12 +133,14 @@
         cell_worker &worker = *pass.state.slots[slot.value];
         const std::int64_t fit = isEligible(waiting, worker) ? countTaskFits(waiting, worker, remaining) : 0;
         if (fit > 0) {
-            candidates.push_back({&worker,
-                                  fit,
-                                  ticket,
-                                  validUntil,
-                                  !declared.dataRack.empty() && worker.rack != declared.dataRack,
-                                  pass.state.policy.failedTasksElsewhere && hasFailedOn(waiting, worker.id)});
+            candidates.push_back(
+                {&worker,
+                 fit,
+                 ticket,
+                 validUntil,
+                 !declared.dataRack.empty() && worker.rack != declared.dataRack,
+                 pass.state.policy.matchesSpeeds ? speedRank(pass.state, waiting, worker, pass.now.utc) : 0,
+                 pass.state.policy.failedTasksElsewhere && hasFailedOn(waiting, worker.id)});
         }
     };
     if (waiting.job->accepted.policy.advice) {
--- a/packages/term/objective.cpp
+++ b/packages/term/objective.cpp
@@ -37,6 +37,9 @@
 
 milliseconds expectedDuration(const cell_state &state, const cell_job &job, std::uint32_t step)
 {
+    if (state.policy.durations == duration_source::Learned) {
+        return predictDuration(job.history->runTimes, job.accepted.job.steps[step].estimate, job.steps[step].durations);
+    }
     const auto estimate = static_cast<double>(job.accepted.job.steps[step].estimate.count());
     if (job.history->meanMs == 0) {
         return milliseconds(static_cast<std::int64_t>(estimate));
--- a/packages/term/objective.h
+++ b/packages/term/objective.h
@@ -19,8 +19,7 @@
                           ///< if the job is late.
 };
 
-/// Expected duration of one task of a step: mean of the caller's estimate and the durations of the queue's tasks, with
-/// the weights of the policy.
+/// Expected duration of one task of a step, from the source that the policy selects.
 milliseconds expectedDuration(const cell_state &state, const cell_job &job, std::uint32_t step);
 
 /// Time from acceptance within which the job should be completed.
--- a/packages/term/run_lifecycle.cpp
+++ b/packages/term/run_lifecycle.cpp
@@ -1,7 +1,9 @@
 #include "term/run_lifecycle.h"
 
 #include "base/log.h"
+#include "term/objective.h"
 #include "term/organisation_usage.h"
+#include "term/sustained_speed.h"
 
 #include <algorithm>
 
@@ -57,6 +59,44 @@
     }
 }
 
+/// Speed at which the work of a run was done: that of its worker, or of the slowest one of a gang. 1 while the workers
+/// of the cell are about equally fast.
+double speedOf(const cell_state &state, const cell_job &job, const cell_step &step, const placed_run &run, bool gang)
+{
+    if (!state.unevenWorkers) {
+        return 1;
+    }
+    double speed = sustainedSpeed(*run.worker);
+    for (std::uint32_t position = step.first; gang && position < step.first + step.count; ++position) {
+        if (job.runs[position] != nullptr) {
+            speed = std::min(speed, sustainedSpeed(*job.runs[position]->worker));
+        }
+    }
+    return speed;
+}
+
+/// Learns from a run that has done all of its task's work, and whose begin is known.
+void learnFromRun(
+    cell_state &state, cell_job &job, cell_step &step, const placed_run &run, bool gang, const clock_reading &now)
+{
+    if (!run.begunAt || run.resumed) {
+        return;
+    }
+    const double took = std::chrono::duration<double, std::milli>(now.uptime - *run.begunAt).count();
+    if (took <= 0) {
+        return;
+    }
+    const std::uint32_t number = stepOf(job, run.position);
+    const double speed = speedOf(state, job, step, run, gang);
+    if (!gang) {
+        learnSpeed(state, *run.worker, static_cast<double>(expectedDuration(state, job, number).count()) / took);
+    }
+    learnDuration(job.history->runTimes,
+                  job.accepted.job.steps[number].estimate,
+                  step.durations,
+                  milliseconds(static_cast<std::int64_t>(took * speed)));
+}
+
 void recordDuration(const cell_job &job, const placed_run &run, const clock_reading &now)
 {
     const double took = std::chrono::duration<double, std::milli>(now.uptime - run.placedAt).count();
@@ -146,6 +186,7 @@
     cell_state &state, cell_job &job, cell_step &step, const placed_run &run, bool gang, const clock_reading &now)
 {
     recordDuration(job, run, now);
+    learnFromRun(state, job, step, run, gang, now);
     if (gang) {
         for (std::uint32_t position = step.first; position < step.first + step.count; ++position) {
             markDone(job, step, position);
@@ -169,6 +210,7 @@
     placed->worker = &worker;
     placed->need = job.accepted.job.steps[step].need;
     placed->placedAt = now.uptime;
+    placed->resumed = !job.progress.tasks[position.value].checkpoint.empty();
     worker.reserved = worker.reserved + placed->need;
     reserveUse(job, placed->need);
     worker.runs.push_back(*placed);
--- /dev/null
+++ b/packages/term/sustained_speed.cpp
@@ -0,0 +1,102 @@
+#include "term/sustained_speed.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sesamespar {
+
+namespace {
+
+/// Weight of the newest sample once there are many, about the runs of a worker in 20 s.
+constexpr double leastWeight = 0.05;
+/// Samples of speed 1 that each worker starts with, so that the first real ones do not decide alone.
+constexpr double assumedSamples = 2;
+/// Weight of the newest sample in the mean of the cell.
+constexpr double cellWeight = 0.005;
+/// Measured speeds count as at most this many times faster or slower than the mean: a task of the tail of the durations
+/// or a run on a hung worker says little about the sustained speed.
+constexpr double farthestRatio = 3;
+/// Samples from which on a worker counts as measured.
+constexpr std::uint32_t samplesForMeasured = 5;
+/// Ratios of the upper to the lower fifth at which a cell becomes uneven, and below which it becomes even again. With
+/// equal workers the noise of the samples gives 1.4.
+constexpr double unevenAbove = 2.0;
+constexpr double evenBelow = 1.7;
+constexpr double lowerFifth = 0.2;
+constexpr double upperFifth = 0.8;
+/// Multiple of its expected duration that a task must have time for on a worker that is fast enough: durations differ
+/// from the expected ones by a factor of two at most in nine of ten tasks.
+constexpr double timeMargin = 2;
+/// Width of a class of speeds, within which the order of free capacity decides.
+constexpr double speedClass = 1.25;
+
+int classOf(double speed)
+{
+    return static_cast<int>(std::lround(std::log(speed) / std::log(speedClass)));
+}
+
+} // namespace
+
+double sustainedSpeed(const cell_worker &worker)
+{
+    return std::exp(worker.logSpeed);
+}
+
+void learnSpeed(cell_state &state, cell_worker &worker, double measuredSpeed)
+{
+    if (measuredSpeed <= 0) {
+        return;
+    }
+    const double logSample = std::log(measuredSpeed);
+    const double bound = std::log(farthestRatio);
+    const double relative = std::clamp(logSample - state.meanLogSpeed, -bound, bound);
+    state.meanLogSpeed += cellWeight * relative;
+    ++worker.speedSamples;
+    const double weight = std::max(1 / (worker.speedSamples + assumedSamples), leastWeight);
+    worker.logSpeed += weight * (relative - worker.logSpeed);
+}
+
+void assessUnevenness(cell_state &state)
+{
+    std::vector<double> speeds;
+    for (const cell_worker *worker : state.slots) {
+        if (worker != nullptr && worker->speedSamples >= samplesForMeasured) {
+            speeds.push_back(worker->logSpeed);
+        }
+    }
+    if (speeds.empty() || 2 * speeds.size() < state.workers.size()) {
+        return;
+    }
+    const auto quantile = [&speeds](double share) {
+        const auto nth = speeds.begin() + static_cast<std::ptrdiff_t>(share * static_cast<double>(speeds.size() - 1));
+        std::nth_element(speeds.begin(), nth, speeds.end());
+        return *nth;
+    };
+    const double ratio = std::exp(quantile(upperFifth) - quantile(lowerFifth));
+    const bool uneven = ratio >= (state.unevenWorkers ? evenBelow : unevenAbove);
+    if (uneven != state.unevenWorkers) {
+        log_event("workers_uneven").with("uneven", uneven).with("ratio", ratio).with("measured", speeds.size());
+    }
+    state.unevenWorkers = uneven;
+}
+
+int speedRank(const cell_state &state, const waiting_step &waiting, const cell_worker &worker, utc_time now)
+{
+    const auto expected = static_cast<double>(expectedDuration(state, *waiting.job, waiting.step).count());
+    const double timeLeft = static_cast<double>(waiting.forecast.latestStart.value - now.value) + expected;
+    const int speed = classOf(sustainedSpeed(worker));
+    if (isDeferrable(waiting)) {
+        return speed;
+    }
+    const double needed = timeMargin * expected / std::max(timeLeft, 1.0);
+    if (needed >= 1) {
+        return -speed;
+    }
+    constexpr int tooSlow = 100;
+    const int neededClass = classOf(std::max(needed, 0.01));
+    return speed >= neededClass ? speed : tooSlow - speed;
+}
+
+} // namespace sesamespar
--- a/packages/term/worker_reports.cpp
+++ b/packages/term/worker_reports.cpp
@@ -61,7 +61,7 @@
         }
     } else {
         end.job = found->second->job;
-        markBegun(state, *end.job, now);
+        markBegun(state, *found->second, now);
         endRun(state, *found->second, row.how, row.checkpoint, now);
         table.erase(found);
     }
@@ -142,9 +142,8 @@
         }
         run.checkpoint = row.checkpoint.empty() ? run.checkpoint : row.checkpoint;
         run.startUnknown = false;
-        run.begun = true;
         run.reported = true;
-        markBegun(state, *run.job, now);
+        markBegun(state, run, now);
         run.state = run.state == run_state::Starting ? run_state::Running : run.state;
         table.erase(found);
     }
@@ -195,6 +194,8 @@
     worker.oldestEnd = end_number(0);
     worker.record = {};
     worker.speed = 1;
+    worker.logSpeed = 0;
+    worker.speedSamples = 0;
     worker.orphanRuns = 0;
 }
 
--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -429,8 +429,7 @@
         return;
     }
     run->startUnknown = false;
-    run->begun = true;
-    markBegun(leader->state, *run->job, now);
+    markBegun(leader->state, *run, now);
     run->orderedAt = now.uptime;
     if (run->state == run_state::Starting) {
         run->state = run_state::Running;
--- a/packages/term/worker_speed.cpp
+++ b/packages/term/worker_speed.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "term/objective.h"
 #include "term/run_lifecycle.h"
+#include "term/sustained_speed.h"
 
 #include <algorithm>
 
@@ -93,6 +94,7 @@
         return;
     }
     const double speed = sum / count;
+    learnSpeed(state, worker, speed);
     worker.speed += workerWeight * (speed - worker.speed);
     state.meanSpeed += cellWeight * (speed - state.meanSpeed);
     if (!isSlow(state, worker.speed)) {
