Keep half of the advisor's machines for work that can still be in time

Change: under the overload policy, overdue and surplus steps ask for advice only while more than half of the machines are free.

--- a/packages/term/advice_dispatch.cpp
+++ b/packages/term/advice_dispatch.cpp
@@ -263,6 +263,7 @@
         std::count_if(leader.adviceRequests.begin(), leader.adviceRequests.end(), [](const auto &entry) {
             return entry.second.isLong;
         }));
+    capacity.machines = usable;
     const std::size_t longLimit = std::max<std::size_t>(1, usable * longShareTenths / tenths);
     capacity.freeForLong = std::min(capacity.free, longLimit - std::min(longLimit, longOpen));
     return capacity;
--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -168,6 +168,11 @@
         || pass.now.uptime < advice.nextRequestAt) {
         return false;
     }
+    // A backlog of overdue work otherwise occupies all machines, and work that can be in time waits for advice.
+    const bool keepsMachines = pass.state.policy.reservedShare > 0 && isDeferrable(waiting);
+    if (keepsMachines && 2 * pass.capacity.free <= pass.capacity.machines) {
+        return false;
+    }
     const bool isLong = takesLong(*waiting.job->accepted.policy.advice);
     return (isLong ? pass.capacity.freeForLong : pass.capacity.free) > 0;
 }
--- a/packages/term/job_placement.h
+++ b/packages/term/job_placement.h
@@ -10,6 +10,7 @@
 struct advice_capacity {
     std::size_t free = 0; ///< Machines without a request in progress.
     std::size_t freeForLong = 0; ///< How many of these may send a long request.
+    std::size_t machines = 0; ///< Machines that can call the advisor at all.
 };
 
 /// True if the requests of a queue are long, whatever number of workers they name. Long requests may use a part of the
