Log the use of the cell by jobs in time, late, overdue and surplus

Cause: the log of a full cell did not show which work fills it. Change: cell_use names the reserved processors and the waiting jobs by prospect. Measured: one pass over the jobs each second.

--- a/packages/term/load_report.cpp
+++ b/packages/term/load_report.cpp
@@ -4,8 +4,11 @@
 #include "connection/cell_codec.h"
 #include "connection/cell_keys.h"
 #include "term/cell_admission.h"
+#include "term/objective.h"
 #include "term/wait_report.h"
 
+#include <array>
+
 namespace sesamespar {
 
 namespace {
@@ -14,6 +17,8 @@
 /// Each report costs one call of the leader and one of each daemon that watches the load.
 constexpr milliseconds loadPeriod{1000};
 constexpr milliseconds loadLimit{1000};
+/// The prospects of job_prospect, and surplus jobs.
+constexpr std::size_t prospectGroups = 4;
 
 void handleLoadCommit(const std::shared_ptr<cell_leader> &leader, time_point sentAt, const result<store_commit> &commit)
 {
@@ -28,8 +33,32 @@
     leader->stepDown("another daemon has begun a term");
 }
 
+/// Processors reserved for the runs of the jobs of each prospect, and waiting jobs of each prospect.
+struct prospect_use {
+    std::int64_t millicores = 0;
+    std::size_t waiting = 0;
+};
+
+/// Groups the jobs: in time, late, overdue, surplus.
+std::array<prospect_use, prospectGroups> measureProspects(const cell_state &state, const clock_reading &now)
+{
+    std::array<prospect_use, prospectGroups> groups;
+    for (const auto &[key, job] : state.jobs) {
+        if (isFinal(job->progress.phase)) {
+            continue;
+        }
+        const auto prospect = static_cast<std::size_t>(forecastDeadline(state, *job, now.utc).prospect);
+        prospect_use &group = groups[job->surplus ? prospectGroups - 1 : prospect];
+        group.waiting += job->begun ? 0 : 1;
+        for (std::size_t step = 0; step < job->steps.size(); ++step) {
+            group.millicores += job->steps[step].placed * job->accepted.job.steps[step].need.processors.value;
+        }
+    }
+    return groups;
+}
+
 /// Logs the utilization of the cell.
-void logUse(cell_leader &leader)
+void logUse(cell_leader &leader, const clock_reading &now)
 {
     resources capacity;
     resources reserved;
@@ -47,6 +76,7 @@
     for (const auto &[queue, entry] : leader.load.queues) {
         pending += entry.pending;
     }
+    const auto groups = measureProspects(leader.state, now);
     log_event("cell_use")
         .with("millicores", capacity.processors)
         .with("reserved_millicores", reserved.processors)
@@ -56,6 +86,14 @@
         .with("questions", leader.adviceRequests.size())
         .with("workers", leader.state.workers.size())
         .with("busy_workers", busyWorkers)
+        .with("in_time_millicores", groups[0].millicores)
+        .with("late_millicores", groups[1].millicores)
+        .with("overdue_millicores", groups[2].millicores)
+        .with("surplus_millicores", groups[3].millicores)
+        .with("in_time_pending", groups[0].waiting)
+        .with("late_pending", groups[1].waiting)
+        .with("overdue_pending", groups[2].waiting)
+        .with("surplus_pending", groups[3].waiting)
         .with("passes", leader.passes.count)
         .with("pass_ms", std::chrono::duration_cast<milliseconds>(leader.passes.total).count());
     leader.passes = {};
@@ -81,7 +119,7 @@
         }
     }
     leader->load = load;
-    logUse(*leader);
+    logUse(*leader, now);
     logWaitingSteps(leader->state, now);
     store_transaction transaction;
     transaction.conditions.push_back({cell_keys::term, store_revision(leader->fence.value)});
