--- /dev/null
+++ b/test/correctness/organisations.cpp
@@ -0,0 +1,182 @@
+// Organisations that share a cell: configuration, API keys, limits, shares and surplus. Each case guards against a
+// request that is served without a valid key, a limit that is exceeded, or work that waits longer than its organisation
+// entitles it to.
+#include "../../platform/operator_configuration.h"
+#include "../fixtures/cell_simulation.h"
+#include "term/cell_recovery.h"
+#include "term/job_placement.h"
+#include "term/organisation_usage.h"
+#include "term/policy_selection.h"
+#include "term/run_lifecycle.h"
+#include "term/waiting_steps.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sesamespar;
+using namespace sesamespar::fixture;
+
+namespace {
+
+constexpr std::int64_t utcNow = 1700000000000;
+
+clock_reading at(std::int64_t ms)
+{
+    const time_point point(milliseconds(1000000 + ms));
+    return {point, utc_time(utcNow + ms), point};
+}
+
+resources cores(std::int64_t count)
+{
+    return {millicores(count * 1000), mebibytes(count * 16), accelerators(0)};
+}
+
+resources coresOnly(std::int64_t count)
+{
+    return {millicores(count * 1000), mebibytes(0), accelerators(0)};
+}
+
+/// State of a leader with one worker of 16 cores and the organisations "a" and "b".
+struct shared_state {
+    explicit shared_state(const resources &limit = {}, double weight = 100)
+    {
+        cell_worker &worker = addWorker(state, worker_id("w"));
+        worker.capacity = cores(16);
+        worker.listed = worker.seen = true;
+        apply(limit, weight);
+    }
+
+    void apply(const resources &limit, double weight = 100)
+    {
+        cell_configuration configuration;
+        configuration.organisations = {{organisation_id("a"), {}, weight, limit},
+                                       {organisation_id("b"), {}, weight, {}}};
+        applyOrganisations(state, configuration);
+    }
+
+    cell_job &add(const std::string &key, const resources &need, std::uint32_t count = 1, bool gang = false)
+    {
+        accepted_job accepted{job_key(key), {}, {}, utc_time(acceptedAt), organisation_id(organisation)};
+        accepted.policy.stretch = 2;
+        job_step step;
+        step.need = need;
+        step.count = count;
+        step.gang = gang;
+        step.estimate = milliseconds(1000);
+        accepted.job.steps.push_back(step);
+        return *addJob(state, std::move(accepted), {});
+    }
+
+    std::size_t place(std::int64_t ms = 0)
+    {
+        return placeWaiting(state, {0, 0}, at(ms)).placed.size();
+    }
+
+    void end(cell_job &job, std::uint32_t position)
+    {
+        endRun(state, *job.runs[position], run_end::Done, {}, at(500));
+    }
+
+    std::string organisation = "a"; ///< Of the jobs that are added.
+    std::int64_t acceptedAt = utcNow;
+    cell_state state;
+};
+
+/// Cell with a private and a public queue, and one organisation with the key "secret".
+struct shared_cell : simulated_cell {
+    shared_cell()
+        : simulated_cell(simulated_cell_settings{})
+    {
+        apply(2, {api_key("secret")}, coresOnly(8));
+        runFor(*this, 2000);
+    }
+
+    void apply(std::uint64_t version, const std::vector<api_key> &keys, const resources &limit)
+    {
+        queue_declaration open = makeQueue(*this);
+        open.pathPrefix = "/open/";
+        open.isPublic = true;
+        applyConfiguration(*this, version, {makeQueue(*this), open}, {{organisation_id("a"), keys, 100, limit}});
+        runFor(*this, 50);
+    }
+
+    /// Name of the answer to a call about job 1: "401", "404", "refused" or "served".
+    std::string answer(const decltype(caller_request::call) &call,
+                       const std::string &key,
+                       const std::string &prefix = queuePrefix,
+                       std::size_t daemon = 0)
+    {
+        const auto text = std::make_shared<std::string>("none");
+        jobs[makeJobKey(1)].prefix = prefix;
+        jobs[makeJobKey(1)].apiKey = api_key(key);
+        callDaemon(*this, daemon, makeJobKey(1), call, [text](const caller_answer &given) {
+            *text = std::holds_alternative<key_rejected>(given) ? "401"
+                : std::holds_alternative<no_such_queue>(given)  ? "404"
+                : std::holds_alternative<call_refused>(given)   ? "refused"
+                                                                : "served";
+        });
+        runFor(*this, 100);
+        return *text;
+    }
+};
+
+} // namespace
+
+TEST_CASE("each kind of call without a valid key gets 401, except on public queues")
+{
+    shared_cell cell;
+    const std::vector<decltype(caller_request::call)> calls = {
+        submit_call{makeOneStepJob(1, 1, "100"), {}}, status_call{}, cancel_call{}, count_call{}};
+    for (const auto &call : calls) {
+        INFO("call " << call.index());
+        CHECK(cell.answer(call, "") == "401");
+        CHECK(cell.answer(call, "other") == "401");
+        CHECK(cell.answer(call, "", "/none/") == "404");
+        CHECK(cell.answer(call, "secret", "/none/") == "404");
+    }
+    CHECK(cell.items.count("jobs/" + makeJobKey(1).value) == 0);
+    for (const auto &call : calls) {
+        CHECK(cell.answer(call, "secret") == "served");
+        CHECK(cell.answer(call, "other", "/open/") == "served");
+    }
+    applyConfiguration(cell, 3, {makeQueue(cell)});
+    runFor(cell, 50);
+    CHECK(cell.answer(status_call{}, "") == "served");
+}
+
+TEST_CASE("a withdrawn key is not served again, and an accepted job continues")
+{
+    shared_cell cell;
+    CHECK(cell.answer(submit_call{makeOneStepJob(1, 1, "3000"), {}}, "secret") == "served");
+    const cell_configuration_ptr earlier = cell.configuration;
+    cell.apply(3, {api_key("new")}, {});
+    CHECK(cell.answer(status_call{}, "secret") == "401");
+    CHECK(cell.answer(status_call{}, "new") == "served");
+    // A new daemon refuses all calls until it has read the newest version; an older one that arrives later is ignored.
+    killDaemon(cell, 0);
+    const std::size_t restarted = startDaemon(cell);
+    CHECK(cell.answer(status_call{}, "secret", queuePrefix, restarted) == "refused");
+    CHECK(cell.answer(status_call{}, "secret", queuePrefix, restarted) == "401");
+    cell.apply(2, {api_key("secret")}, {});
+    CHECK(cell.answer(status_call{}, "secret", queuePrefix, restarted) == "401");
+    CHECK(cell.answer(status_call{}, "secret", queuePrefix, 1) == "401");
+    CHECK(runUntil(cell, 12000, [&] { return storedPhase(cell, makeJobKey(1)) == job_phase::Completed; }));
+}
+
+TEST_CASE("each component of a limit holds, and a wide step runs in waves")
+{
+    const auto [limit, need, first] = GENERATE(table<resources, resources, std::size_t>(
+        {{{}, cores(1), 10},
+         {cores(3), cores(1), 3},
+         {cores(5), cores(2), 2},
+         {{millicores(0), mebibytes(64), accelerators(0)}, cores(1), 4},
+         {{millicores(0), mebibytes(0), accelerators(2)}, {millicores(1), mebibytes(1), accelerators(1)}, 2}}));
+    shared_state shared(limit);
+    shared.state.workers.begin()->second->capacity.accelerator = accelerators(16);
+    cell_job &wide = shared.add("wide", need, 10);
+    cell_job &other = shared.add("other", need, 1);
+    CHECK(shared.place() == first + (first == 10 ? 1 : 0));
+    shared.end(first == 10 ? wide : (wide.runs[0] != nullptr ? wide : other), 0);
+    CHECK(shared.place(600) == (first == 10 ? 0 : 1));
+    CHECK(shared.state.organisations.at(organisation_id("a")).reserved
+          == shared.state.workers.begin()->second->reserved);
+}
