--- a/packages/version/organisation_check.cpp
+++ b/packages/version/organisation_check.cpp
@@ -1,6 +1,7 @@
 #include "version/organisation_check.h"
 
 #include <cmath>
+#include <map>
 #include <set>
 
 namespace sesamespar {
@@ -27,7 +28,7 @@
 {
     findings all;
     std::set<organisation_id> names;
-    std::set<api_key> keys;
+    std::map<api_key, std::size_t> owners;
     for (std::size_t index = 0; index < organisations.size(); ++index) {
         const organisation_declaration &organisation = organisations[index];
         if (organisation.name.value.empty()) {
@@ -39,15 +40,16 @@
         for (const api_key &key : organisation.keys) {
             if (key.value.empty()) {
                 all.push_back(makeFinding(index, "keys", "a key is empty or not a string", "non-empty strings"));
-            } else if (!keys.insert(key).second) {
-                all.push_back(makeFinding(index, "keys", "a key is declared twice", "keys of its own"));
+            } else if (owners.try_emplace(key, index).first->second != index) {
+                all.push_back(
+                    makeFinding(index, "keys", "a key belongs to another organisation as well", "keys of its own"));
             }
         }
         if (!std::isfinite(organisation.weight) || organisation.weight < 0) {
             all.push_back(makeFinding(index, "weight", "the weight is negative or not a number", "0 or more"));
         }
         if (isNegative(organisation.limit)) {
-            all.push_back(makeFinding(index, "limit", "a limit is negative or not a whole number", "0 or more"));
+            all.push_back(makeFinding(index, "limit", "a limit is negative or not a number", "0 or more"));
         }
     }
     return all;
--- a/test/correctness/organisations.cpp
+++ b/test/correctness/organisations.cpp
@@ -121,6 +121,44 @@
 
 } // namespace
 
+TEST_CASE("a configuration with invalid organisations is rejected with the field and without the keys")
+{
+    const std::string one = R"({"name":"a","apiKeys":["secret"])";
+    const auto [tenants, field] = GENERATE_COPY(table<std::string, std::string>(
+        {{"{}", "tenants"},
+         {"null", "tenants"},
+         {"[5]", "tenants[0].name"},
+         {R"([{"apiKeys":["secret"]}])", "tenants[0].name"},
+         {"[" + one + "}," + R"({"name":"a"}])", "tenants[1].name"},
+         {R"([{"name":"a","apiKeys":"secret"}])", "tenants[0].apiKeys"},
+         {R"([{"name":"a","apiKeys":["secret",""]}])", "tenants[0].apiKeys"},
+         {R"([{"name":"a","apiKeys":["secret",7]}])", "tenants[0].apiKeys"},
+         {"[" + one + "}," + R"({"name":"b","apiKeys":["secret"]}])", "tenants[1].apiKeys"},
+         {"[" + one + R"(,"weight":-1}])", "tenants[0].weight"},
+         {"[" + one + R"(,"weight":"secret"}])", "tenants[0].weight"},
+         {"[" + one + R"(,"maxCount":5}])", "tenants[0].maxCount"},
+         {"[" + one + R"(,"maxCount":{"memMb":-1}}])", "tenants[0].maxCount"},
+         {"[" + one + R"(,"maxCount":{"gpu":"1"}}])", "tenants[0].maxCount"}}));
+    const auto configuration = platform::decodeConfiguration(R"({"version":2,"tenants":)" + tenants + "}");
+    REQUIRE_FALSE(configuration);
+    CHECK(configuration.error().message.find(field) != std::string::npos);
+    CHECK(configuration.error().message.find("secret") == std::string::npos);
+}
+
+TEST_CASE("a configuration with unusual but valid organisations is applied")
+{
+    // A version that is rejected without need leaves withdrawn keys in force.
+    const auto [tenants, limit] = GENERATE(table<std::string, std::int64_t>(
+        {{R"([{"name":"a"}])", 0},
+         {R"([{"name":"a","apiKeys":["k","k"],"priority":"x","maxCount":{"cpu":2000,"gpu":0}}])", 2000},
+         {R"([{"name":"a","maxCount":{"cpu":2e3}}])", 2000},
+         {R"([{"name":"a","maxCount":{"cpu":0.5}}])", 1},
+         {R"([{"name":"a","maxCount":{"cpu":1e300}}])", 1000000000000}}));
+    const auto configuration = platform::decodeConfiguration(R"({"version":2,"tenants":)" + tenants + "}");
+    REQUIRE(configuration);
+    CHECK(configuration.value()->organisations.front().limit.processors == millicores(limit));
+}
+
 TEST_CASE("each kind of call without a valid key gets 401, except on public queues")
 {
     shared_cell cell;
