Keep the limit of an organisation neither for impossible nor against waiting gangs

Cause: a gang above a lowered limit kept more than the whole limit, so nothing of its organisation started any more. A gang or a large task whose jobs have more remaining work than others never started, because smaller steps ahead of it took each part of the limit that became free. Change: nothing is kept for a gang that alone exceeds the limit. The step that has waited longest for the limit, for as long as it is expected to run, is favoured: other steps leave the part of the limit that it needs. The limit is also kept while a gang waits for capacity or tickets. step_waits says "limit".

--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -118,6 +118,9 @@
     step_advice advice; ///< What the advisor has said about the workers for this step.
     run_number failedRun; ///< Latest run of a gang that was counted as a failure.
     step_durations durations; ///< Of its tasks that have ended.
+    /// In uptime; since then no task could start because of the limit of the organisation. Empty if it is not waiting
+    /// for the limit.
+    std::optional<time_point> limitedSince;
 };
 
 /// A job that is not final, or that still has runs or unstored changes.
@@ -164,8 +167,12 @@
     resources limit; ///< 0 in a component: no limit.
     resources reserved; ///< By all runs of its jobs that have not provably ended.
     std::map<std::int64_t, std::uint32_t> submitted; ///< Number of jobs by the second of their acceptance.
-    /// Part of the limit that the pass in progress keeps for a gang that does not fit into it at present.
+    /// Part of the limit that the pass in progress keeps for gangs that cannot start at present.
     resources kept;
+    /// Step that has waited too long for the limit. Nothing else of the organisation starts in the part of the limit
+    /// that it needs, whatever the order of the steps. Null if there is none; valid during a pass only.
+    const cell_step *favoured = nullptr;
+    resources favouredNeed;
     bool active = false; ///< It has waiting jobs or runs in the pass in progress.
     bool aboveShare = false; ///< It uses more of the cell than its weight entitles it to.
 };
--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -334,7 +334,7 @@
 std::size_t tasksAllowed(const placement_pass &pass, const waiting_step &waiting, std::size_t wanted)
 {
     const resources &need = waiting.declared().need;
-    auto allowed = tasksWithinLimit(*waiting.job, need, static_cast<std::int64_t>(wanted));
+    auto allowed = tasksWithinLimit(*waiting.job, waiting.step, static_cast<std::int64_t>(wanted));
     const std::int64_t available = pass.free.available.processors.value;
     const std::int64_t total = pass.free.total.processors.value;
     if (pass.state.policy.reservedShare > 0 && isDeferrable(waiting) && 2 * available < total) {
@@ -365,10 +365,12 @@
 {
     const job_step &declared = waiting.declared();
     const std::size_t wanted = countWaiting(waiting);
-    if (tasksAllowed(pass, waiting, wanted) < wanted) {
-        if (tasksWithinLimit(*waiting.job, declared.need, static_cast<std::int64_t>(wanted))
-            < static_cast<std::int64_t>(wanted)) {
-            keepLimit(*waiting.job, declared.need * static_cast<std::int64_t>(wanted));
+    const auto withinLimit = tasksWithinLimit(*waiting.job, waiting.step, static_cast<std::int64_t>(wanted));
+    const bool waitsForLimit = withinLimit < static_cast<std::int64_t>(wanted);
+    recordLimitWait(*waiting.job, waiting.step, waitsForLimit, pass.now.uptime);
+    if (waitsForLimit || tasksAllowed(pass, waiting, wanted) < wanted) {
+        if (waitsForLimit) {
+            keepLimit(*waiting.job, waiting.step);
         }
         return;
     }
@@ -380,6 +382,7 @@
             ++pass.gatheringGangs;
             pass.gatheringMillicores += declared.need.processors.value * waiting.state().count;
             deductCapacity(pass, places, declared.need);
+            keepLimit(*waiting.job, waiting.step);
         }
         return;
     }
@@ -395,12 +398,14 @@
     }
     if (waiting.state().advice.openRequests > 0) {
         deductCapacity(pass, places, declared.need);
+        keepLimit(*waiting.job, waiting.step);
     }
 }
 
 /// Places as many tasks of a step as fit.
 void placeSingles(placement_pass &pass, const waiting_step &waiting)
 {
+    recordLimitWait(*waiting.job, waiting.step, tasksWithinLimit(*waiting.job, waiting.step, 1) == 0, pass.now.uptime);
     const std::size_t wanted = tasksAllowed(pass, waiting, countWaiting(waiting));
     if (wanted == 0) {
         return;
@@ -430,7 +435,7 @@
 placement_outcome placeWaiting(cell_state &state, advice_capacity capacity, const clock_reading &now)
 {
     placement_pass pass{state, now, measureFree(state, now.uptime), capacity, {}};
-    updateShares(state, pass.free.total);
+    updateShares(state, pass.free.total, now.uptime);
     for (const waiting_step &waiting : collectWaiting(state, now.utc)) {
         if (waiting.declared().gang) {
             placeGang(pass, waiting);
--- a/packages/term/organisation_usage.cpp
+++ b/packages/term/organisation_usage.cpp
@@ -1,6 +1,7 @@
 #include "term/organisation_usage.h"
 
 #include "base/log.h"
+#include "version/organisation_check.h"
 
 #include <algorithm>
 
@@ -30,6 +31,47 @@
                      fitsComponent(limit.accelerator.value, used.accelerator.value, need.accelerator.value, wanted)});
 }
 
+/// Part of a limit that one task needs at least for its step to be favoured. Smaller tasks find room whenever a few
+/// others end.
+constexpr std::int64_t favouredTaskPart = 4;
+
+/// What a step needs of the limit to start: all tasks of a gang, otherwise one task.
+resources needToStart(const job_step &step)
+{
+    return step.gang ? step.need * static_cast<std::int64_t>(step.count) : step.need;
+}
+
+/// True if the step waits for the limit for as long as it is expected to run. With an objective of twice the duration,
+/// it can then still be in time. Steps with less remaining work, which are ahead of it, otherwise use up every part of
+/// the limit that becomes free.
+bool isFavoured(const cell_job &job, std::uint32_t number, time_point uptime)
+{
+    const cell_step &step = job.steps[number];
+    const job_step &declared = job.accepted.job.steps[number];
+    const resources &limit = job.organisation->limit;
+    return step.limitedSince && step.done + step.placed < step.count && !isFinal(job.progress.phase)
+        && uptime >= *step.limitedSince + declared.estimate
+        && (declared.gang || exceedsLimit(limit, declared.need, favouredTaskPart))
+        && !exceedsLimit(limit, declared.need, declared.gang ? declared.count : 1);
+}
+
+/// Selects the step of the job that has waited longest for the limit, if it has waited longer than that of the
+/// organisation's earlier jobs.
+void considerFavoured(const cell_job &job, time_point uptime)
+{
+    organisation_usage &usage = *job.organisation;
+    for (std::uint32_t number = 0; number < job.steps.size(); ++number) {
+        const cell_step &step = job.steps[number];
+        if (isFavoured(job, number, uptime)
+            && (usage.favoured == nullptr || *step.limitedSince < *usage.favoured->limitedSince)) {
+            usage.favoured = &step;
+            usage.favouredNeed = needToStart(job.accepted.job.steps[number]);
+        }
+    }
+}
+
+}
+
 } // namespace
 
 void applyOrganisations(cell_state &state, const cell_configuration &configuration)
@@ -82,18 +124,21 @@
     }
 }
 
-void updateShares(cell_state &state, const resources &total)
+void updateShares(cell_state &state, const resources &total, time_point uptime)
 {
     if (state.organisations.empty()) {
         return;
     }
     for (auto &[name, usage] : state.organisations) {
         usage.kept = {};
+        usage.favoured = nullptr;
+        usage.favouredNeed = {};
         usage.active = usage.reserved.processors.value > 0;
     }
     for (const cell_job &job : state.waiting) {
         if (job.organisation != nullptr) {
             job.organisation->active = true;
+            considerFavoured(job, uptime);
         }
     }
     double weights = 0;
@@ -108,19 +153,34 @@
     }
 }
 
-std::int64_t tasksWithinLimit(const cell_job &job, const resources &need, std::int64_t wanted)
+std::int64_t tasksWithinLimit(const cell_job &job, std::uint32_t step, std::int64_t wanted)
 {
     if (job.organisation == nullptr) {
         return wanted;
     }
     const organisation_usage &usage = *job.organisation;
-    return fitsLimit(usage.limit, usage.reserved + usage.kept, need, wanted);
+    const resources kept = usage.favoured == &job.steps[step] ? resources() : usage.kept + usage.favouredNeed;
+    return fitsLimit(usage.limit, usage.reserved + kept, job.accepted.job.steps[step].need, wanted);
 }
 
-void keepLimit(const cell_job &job, const resources &need)
+void keepLimit(const cell_job &job, std::uint32_t step)
 {
-    if (job.organisation != nullptr) {
-        job.organisation->kept = job.organisation->kept + need;
+    if (job.organisation == nullptr || job.organisation->favoured == &job.steps[step]) {
+        return;
+    }
+    const job_step &declared = job.accepted.job.steps[step];
+    if (!exceedsLimit(job.organisation->limit, declared.need, declared.count)) {
+        job.organisation->kept = job.organisation->kept + needToStart(declared);
+    }
+}
+
+void recordLimitWait(cell_job &job, std::uint32_t step, bool waits, time_point uptime)
+{
+    std::optional<time_point> &since = job.steps[step].limitedSince;
+    if (job.organisation == nullptr || !waits) {
+        since.reset();
+    } else if (!since) {
+        since = uptime;
     }
 }
 
--- a/packages/term/organisation_usage.h
+++ b/packages/term/organisation_usage.h
@@ -19,14 +19,19 @@
 /// Subtracts the need of a run that has provably ended.
 void releaseUse(const cell_job &job, const resources &need);
 
-/// Updates which organisations use more than their share of the cell's processors, at the begin of a placement pass.
-/// The cell is shared by the organisations that have waiting jobs or runs, in proportion to their weights.
-void updateShares(cell_state &state, const resources &total);
+/// Updates which organisations use more than their share of the cell's processors, and for which step of each the limit
+/// is kept, at the begin of a placement pass. The cell is shared by the organisations that have waiting jobs or runs,
+/// in proportion to their weights.
+void updateShares(cell_state &state, const resources &total, time_point uptime);
 
-/// Number of tasks of that need, at most `wanted`, that are within the limit of the job's organisation.
-std::int64_t tasksWithinLimit(const cell_job &job, const resources &need, std::int64_t wanted);
+/// Number of tasks of the step, at most `wanted`, that are within the limit of the job's organisation.
+std::int64_t tasksWithinLimit(const cell_job &job, std::uint32_t step, std::int64_t wanted);
 
-/// Keeps a part of the organisation's limit for a gang during the pass, so that its smaller steps do not use all of it.
-void keepLimit(const cell_job &job, const resources &need);
+/// Keeps a part of the organisation's limit for a gang during the pass, so that steps behind it do not use all of it.
+/// Keeps nothing for a gang that alone exceeds the limit, which would stop all other work of the organisation.
+void keepLimit(const cell_job &job, std::uint32_t step);
+
+/// Records whether a step waits for the limit of its organisation, and since when.
+void recordLimitWait(cell_job &job, std::uint32_t step, bool waits, time_point uptime);
 
 } // namespace sesamespar
--- a/packages/term/wait_report.cpp
+++ b/packages/term/wait_report.cpp
@@ -34,6 +34,9 @@
 /// What the step waits for.
 const char *reasonOf(const cell_step &step, const step_fits &found)
 {
+    if (step.limitedSince) {
+        return "limit";
+    }
     if (step.advice.openRequests > 0) {
         return "advice";
     }
--- a/test/correctness/organisations.cpp
+++ b/test/correctness/organisations.cpp
@@ -218,3 +218,33 @@
     CHECK(shared.state.organisations.at(organisation_id("a")).reserved
           == shared.state.workers.begin()->second->reserved);
 }
+
+TEST_CASE("a gang above a lowered limit waits and holds nothing else back")
+{
+    // The gang kept more than the whole limit, so that no other step of its organisation ever started.
+    shared_state shared(cores(4));
+    cell_job &gang = shared.add("gang", cores(1), 5, true);
+    cell_job &small = shared.add("small", cores(1), 3);
+    CHECK(shared.place() == 3);
+    CHECK(gang.steps[0].placed == 0);
+    CHECK(small.steps[0].placed == 3);
+}
+
+TEST_CASE("a gang or a large task that waits for the limit is not starved by smaller steps")
+{
+    // Steps with less remaining work are ahead and took each part of the limit that became free.
+    const bool isGang = GENERATE(true, false);
+    shared_state shared(cores(4));
+    shared.state.policy.ties = tie_order::LeastWork;
+    cell_job &first = shared.add("first", cores(1), 4);
+    shared.place();
+    cell_job &large = isGang ? shared.add("large", cores(1), 4, true) : shared.add("large", cores(4));
+    shared.place(10);
+    for (std::uint32_t round = 0; round < 4; ++round) {
+        const std::string key = "small" + std::to_string(round);
+        shared.add(key, cores(1));
+        shared.end(first, round);
+        shared.place(1100 + round);
+        CHECK(large.steps[0].placed == (round < 3 ? 0 : large.steps[0].count));
+    }
+}
