Derive surplus from the order of acceptance

Cause: with a weight below 1 every job was surplus. A new leader counted jobs in the order of their keys and before it knew the weights, and a changed weight had no effect on known jobs. One job with a time in the future displaced the counts of all other seconds. Change: a job is surplus if at least as many jobs as the weight were accepted before it in the same second. A new leader counts the stored jobs in the order of their acceptance; each configuration applies to all jobs. The oldest of 600 seconds is dropped, whatever the newest is.

--- a/packages/term/cell_recovery.cpp
+++ b/packages/term/cell_recovery.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "connection/cell_codec.h"
 #include "connection/cell_keys.h"
+#include "term/organisation_usage.h"
 #include "term/run_lifecycle.h"
 #include "term/worker_sessions.h"
 
@@ -179,6 +180,7 @@
         return;
     }
     leader->recovered = true;
+    rankSubmissions(leader->state);
     recordTime(*leader->context.counters, cell_metrics::takeoverTime, now.uptime - leader->beganAt);
     leader->placementDue = true;
     log_event("cell_recovered")
--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -131,6 +131,8 @@
     std::vector<placed_run *> runs; ///< By position; null if nothing is placed.
     struct queue_history *history = nullptr; ///< Of the job's queue.
     struct organisation_usage *organisation = nullptr; ///< Null if the job belongs to none.
+    /// Number of jobs of its organisation that were accepted before it in the same second.
+    std::uint32_t acceptedBefore = 0;
     bool surplus = false; ///< Submitted beyond the weight of its organisation.
     waiting_hook waitingHook;
     bool cancelled = false; ///< The caller has cancelled the job.
--- a/packages/term/organisation_usage.cpp
+++ b/packages/term/organisation_usage.cpp
@@ -4,14 +4,17 @@
 #include "version/organisation_check.h"
 
 #include <algorithm>
+#include <set>
+#include <tuple>
 
 namespace sesamespar {
 
 namespace {
 
-/// Time for which the numbers of submitted jobs are kept. Jobs reach the leader up to some seconds after their
-/// acceptance, and those of a predecessor in the order of their keys.
-constexpr std::int64_t keptSeconds = 60;
+/// Number of seconds for which the numbers of accepted jobs are kept, 30 kB an organisation. Jobs reach the leader up
+/// to some seconds after their acceptance, and the backlog of a predecessor after minutes. Seconds are dropped by their
+/// number and not by their age, so that a single job with a time in the future does not displace all others.
+constexpr std::size_t keptSeconds = 600;
 
 constexpr std::int64_t msPerSecond = 1000;
 
@@ -70,6 +73,25 @@
     }
 }
 
+/// Determines whether the job is beyond the weight of its organisation: at least as many jobs as the weight were
+/// accepted before it in the same second. With a weight below 1, one job a second is within it.
+void updateSurplus(cell_job &job)
+{
+    const double weight = job.organisation->weight;
+    job.surplus = weight > 0 && static_cast<double>(job.acceptedBefore) >= weight;
+}
+
+/// Counts a job among those of its second.
+void countSubmission(cell_job &job)
+{
+    std::map<std::int64_t, std::uint32_t> &submitted = job.organisation->submitted;
+    job.acceptedBefore = submitted[job.accepted.acceptedAt.value / msPerSecond]++;
+    if (submitted.size() > keptSeconds) {
+        submitted.erase(submitted.begin());
+    }
+    updateSurplus(job);
+}
+
 }
 
 } // namespace
@@ -94,6 +116,11 @@
             .with("limit_mib", declared.limit.memory)
             .with("reserved_millicores", usage.reserved.processors);
     }
+    for (const auto &[key, job] : state.jobs) {
+        if (job->organisation != nullptr) {
+            updateSurplus(*job);
+        }
+    }
 }
 
 void assignOrganisation(cell_state &state, cell_job &job)
@@ -101,13 +128,26 @@
     if (job.accepted.organisation.value.empty()) {
         return;
     }
-    organisation_usage &usage = state.organisations[job.accepted.organisation];
-    job.organisation = &usage;
-    const std::int64_t second = job.accepted.acceptedAt.value / msPerSecond;
-    const std::uint32_t submitted = ++usage.submitted[second];
-    usage.submitted.erase(usage.submitted.begin(),
-                          usage.submitted.lower_bound(usage.submitted.rbegin()->first - keptSeconds));
-    job.surplus = usage.weight > 0 && static_cast<double>(submitted) > usage.weight;
+    job.organisation = &state.organisations[job.accepted.organisation];
+    countSubmission(job);
+}
+
+void rankSubmissions(cell_state &state)
+{
+    std::vector<cell_job *> jobs;
+    for (const auto &[key, job] : state.jobs) {
+        if (job->organisation != nullptr) {
+            job->organisation->submitted.clear();
+            jobs.push_back(job.get());
+        }
+    }
+    std::sort(jobs.begin(), jobs.end(), [](const cell_job *left, const cell_job *right) {
+        return std::tie(left->accepted.acceptedAt, left->accepted.key)
+            < std::tie(right->accepted.acceptedAt, right->accepted.key);
+    });
+    for (cell_job *job : jobs) {
+        countSubmission(*job);
+    }
 }
 
 void reserveUse(const cell_job &job, const resources &need)
--- a/packages/term/organisation_usage.h
+++ b/packages/term/organisation_usage.h
@@ -13,6 +13,10 @@
 /// would otherwise delay those of all others.
 void assignOrganisation(cell_state &state, cell_job &job);
 
+/// Counts the jobs of each second anew in the order of their acceptance. A new leader learns the stored jobs in the
+/// order of their keys, which says nothing about which of them came first.
+void rankSubmissions(cell_state &state);
+
 /// Adds the need of a run to the use of the job's organisation, if it has one.
 void reserveUse(const cell_job &job, const resources &need);
 
--- a/test/correctness/organisations.cpp
+++ b/test/correctness/organisations.cpp
@@ -248,3 +248,39 @@
         CHECK(large.steps[0].placed == (round < 3 ? 0 : large.steps[0].count));
     }
 }
+
+TEST_CASE("surplus waits behind all other jobs, and one job a second is within any weight")
+{
+    const auto [weight, jobs, within] =
+        GENERATE(table<double, int, int>({{0, 4, 4}, {0.5, 3, 1}, {1, 3, 1}, {2, 4, 2}, {2.5, 4, 3}}));
+    shared_state shared({}, weight);
+    int counted = 0;
+    for (int number = 0; number < jobs; ++number) {
+        counted += shared.add("a" + std::to_string(number), cores(16)).surplus ? 0 : 1;
+    }
+    CHECK(counted == within);
+    shared.organisation = "b";
+    shared.acceptedAt = utcNow - 60000;
+    const cell_job &overdue = shared.add("z", cores(16));
+    const std::vector<waiting_step> order = collectWaiting(shared.state, utc_time(utcNow));
+    CHECK(order[static_cast<std::size_t>(within)].job == &overdue);
+}
+
+TEST_CASE("a new leader and a new weight find the same surplus")
+{
+    // Jobs were counted in the order in which a leader learned of them, before it knew the weights.
+    shared_state shared({}, 0);
+    shared.acceptedAt = utcNow + 1;
+    const cell_job &later = shared.add("a", cores(1));
+    shared.acceptedAt = utcNow;
+    const cell_job &earlier = shared.add("b", cores(1));
+    rankSubmissions(shared.state);
+    shared.apply({}, 1);
+    CHECK_FALSE(earlier.surplus);
+    CHECK(later.surplus);
+    // One job with a time in the future must not displace the counts of all other seconds.
+    shared.acceptedAt = utcNow + 1000000000;
+    shared.add("c", cores(1));
+    shared.acceptedAt = utcNow;
+    CHECK(shared.add("d", cores(1)).surplus);
+}
