Count the runs of final jobs at the next leader

Cause: a job that is cancelled or has failed is final in the store while its runs on unreachable workers continue until their leases expire. A new leader knew nothing of them and exceeded the limit of their organisation. Change: the progress of a final job stores its organisation and the need of the runs that had not ended. A new leader counts them until all leases of earlier terms have expired, if the job ended within that time.

--- a/packages/connection/cell_codec.cpp
+++ b/packages/connection/cell_codec.cpp
@@ -15,13 +15,18 @@
     }
 }
 
+void writeResources(json_writer &writer, const resources &amount)
+{
+    writeNumber(writer, "processors", amount.processors.value);
+    writeNumber(writer, "memory", amount.memory.value);
+    writeNumber(writer, "accelerators", amount.accelerator.value);
+}
+
 void writeStep(json_writer &writer, const job_step &step)
 {
     writer.StartObject();
     writeNumber(writer, "count", step.count);
-    writeNumber(writer, "processors", step.need.processors.value);
-    writeNumber(writer, "memory", step.need.memory.value);
-    writeNumber(writer, "accelerators", step.need.accelerator.value);
+    writeResources(writer, step.need);
     writeNumber(writer, "estimate", step.estimate.count());
     if (!step.after.empty()) {
         writer.Key("after");
@@ -148,6 +153,15 @@
     return true;
 }
 
+/// Reads the need of runs that have not ended. An invalid amount reads as 0.
+resources readUnended(const json_object &object)
+{
+    constexpr std::int64_t most = 1000000000000;
+    return {millicores(object.boundedNumber("processors", 0, most).value_or(0)),
+            mebibytes(object.boundedNumber("memory", 0, most).value_or(0)),
+            accelerators(object.boundedNumber("accelerators", 0, most).value_or(0))};
+}
+
 result<job_phase> phaseOf(const json_object &object)
 {
     const std::string name = object.text("state");
@@ -223,6 +237,10 @@
     writeText(writer, "state", phaseName(progress.phase));
     if (isFinal(progress.phase)) {
         writeNumber(writer, "ended", progress.ended.value);
+        if (progress.unended != resources()) {
+            writeText(writer, "organisation", progress.organisation.value);
+            writeResources(writer, progress.unended);
+        }
     } else {
         writer.Key("tasks");
         writer.StartArray();
@@ -251,6 +269,8 @@
     job_progress progress;
     progress.phase = phase.value();
     progress.ended.value = object->number("ended", 0);
+    progress.organisation.value = object->text("organisation");
+    progress.unended = readUnended(*object);
     for (const rapidjson::Value &row : object->list("tasks")) {
         if (!readTask(row, progress.tasks)) {
             return makeError(error_kind::InvalidInput, "job progress has a malformed row in \"tasks\"");
--- a/packages/request/job_progress.h
+++ b/packages/request/job_progress.h
@@ -4,6 +4,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "base/units.h"
 
 #include <cstdint>
 #include <optional>
@@ -53,6 +54,10 @@
     job_phase phase = job_phase::Queued;
     std::vector<task_progress> tasks; ///< All tasks, step by step; empty once the job is final.
     utc_time ended; ///< When the job became final.
+    /// Organisation of the job, and the need of its runs that had not provably ended when it became final. Empty and 0
+    /// if it belongs to none. The next leader counts them until they must have ended.
+    organisation_id organisation;
+    resources unended;
 };
 
 } // namespace sesamespar
--- a/packages/term/cell_recovery.cpp
+++ b/packages/term/cell_recovery.cpp
@@ -214,7 +214,18 @@
                                 std::move(sink));
 }
 
-void addStoredProgress(cell_leader &leader, const store_item &item)
+/// Counts the runs that had not ended when the job became final, unless that was so long ago that their leases have
+/// expired. The time of day of the daemons differs by less than the margin in that time.
+void holdUnendedRuns(cell_leader &leader, const job_progress &progress, const clock_reading &now)
+{
+    const time_point until = earlierLeasesEndBy(leader);
+    const milliseconds longest = std::chrono::duration_cast<milliseconds>(until - leader.beganAt);
+    if (progress.unended != resources() && now.utc.value - progress.ended.value < longest.count()) {
+        holdUnended(leader.state, progress.organisation, progress.unended, until);
+    }
+}
+
+void addStoredProgress(cell_leader &leader, const store_item &item, const clock_reading &now)
 {
     const job_key key(item.key.substr(cell_keys::progressPrefix.size()));
     auto progress = decodeProgress(item.value);
@@ -224,6 +235,7 @@
             .with("problem", progress.error().message);
     } else if (isFinal(progress.value().phase)) {
         leader.finished[key] = {progress.value().phase, progress.value().ended};
+        holdUnendedRuns(leader, progress.value(), now);
     } else {
         leader.recoveredProgress[key] = {std::move(progress.value()), item.revision};
     }
@@ -255,7 +267,7 @@
         return;
     }
     for (const store_item &item : page.value().items) {
-        addStoredProgress(*leader, item);
+        addStoredProgress(*leader, item, now);
     }
     if (page.value().truncated && !page.value().items.empty()) {
         listProgress(leader, page.value().items.back().key);
--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -168,6 +168,10 @@
     double weight = 0; ///< See organisation_declaration.
     resources limit; ///< 0 in a component: no limit.
     resources reserved; ///< By all runs of its jobs that have not provably ended.
+    /// Need of runs of an earlier term whose jobs were final already. It counts until `unendedUntil`, in uptime, when
+    /// the leases of these runs have expired.
+    resources unended;
+    time_point unendedUntil;
     std::map<std::int64_t, std::uint32_t> submitted; ///< Number of jobs by the second of their acceptance.
     /// Part of the limit that the pass in progress keeps for gangs that cannot start at present.
     resources kept;
--- a/packages/term/organisation_usage.cpp
+++ b/packages/term/organisation_usage.cpp
@@ -157,6 +157,13 @@
     }
 }
 
+void holdUnended(cell_state &state, const organisation_id &organisation, const resources &need, time_point until)
+{
+    organisation_usage &usage = state.organisations[organisation];
+    usage.unended = usage.unended + need;
+    usage.unendedUntil = std::max(usage.unendedUntil, until);
+}
+
 void releaseUse(const cell_job &job, const resources &need)
 {
     if (job.organisation != nullptr) {
@@ -170,6 +177,9 @@
         return;
     }
     for (auto &[name, usage] : state.organisations) {
+        if (uptime >= usage.unendedUntil) {
+            usage.unended = {};
+        }
         usage.kept = {};
         usage.favoured = nullptr;
         usage.favouredNeed = {};
@@ -200,7 +210,7 @@
     }
     const organisation_usage &usage = *job.organisation;
     const resources kept = usage.favoured == &job.steps[step] ? resources() : usage.kept + usage.favouredNeed;
-    return fitsLimit(usage.limit, usage.reserved + kept, job.accepted.job.steps[step].need, wanted);
+    return fitsLimit(usage.limit, usage.reserved + usage.unended + kept, job.accepted.job.steps[step].need, wanted);
 }
 
 void keepLimit(const cell_job &job, std::uint32_t step)
--- a/packages/term/organisation_usage.h
+++ b/packages/term/organisation_usage.h
@@ -20,6 +20,9 @@
 /// Adds the need of a run to the use of the job's organisation, if it has one.
 void reserveUse(const cell_job &job, const resources &need);
 
+/// Adds the need of runs of an earlier term whose job was final already, until `until` in uptime.
+void holdUnended(cell_state &state, const organisation_id &organisation, const resources &need, time_point until);
+
 /// Subtracts the need of a run that has provably ended.
 void releaseUse(const cell_job &job, const resources &need);
 
--- a/packages/term/run_lifecycle.cpp
+++ b/packages/term/run_lifecycle.cpp
@@ -32,6 +32,10 @@
     for (placed_run *run : job.runs) {
         if (run != nullptr) {
             requestStop(state, *run);
+            if (job.organisation != nullptr) {
+                job.progress.organisation = job.accepted.organisation;
+                job.progress.unended = job.progress.unended + run->need;
+            }
         }
     }
     markChanged(state, job);
--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -705,13 +705,18 @@
     }
 }
 
+time_point earlierLeasesEndBy(const cell_leader &leader)
+{
+    return leader.beganAt + extensionAuthority + longestLeaseTime(leader);
+}
+
 cell_worker &findOrAddWorker(cell_leader &leader, const worker_id &id)
 {
     if (cell_worker *known = findWorker(leader, id)) {
         return *known;
     }
     cell_worker &worker = addWorker(leader.state, id);
-    worker.leasesEndBy = leader.beganAt + extensionAuthority + longestLeaseTime(leader);
+    worker.leasesEndBy = earlierLeasesEndBy(leader);
     return worker;
 }
 
--- a/packages/term/worker_sessions.h
+++ b/packages/term/worker_sessions.h
@@ -18,6 +18,9 @@
 /// Ends the runs of workers that were unreachable for so long that all of their leases have expired.
 void endExpiredRuns(cell_leader &leader, const clock_reading &now);
 
+/// Time after which, in uptime, no lease that an earlier leader has granted is valid on any worker.
+time_point earlierLeasesEndBy(const cell_leader &leader);
+
 /// Returns the worker with that id; adds it if the term has none. Runs that earlier leaders started or extended may
 /// continue on an added worker until their leases expire, even if the worker is never reached.
 cell_worker &findOrAddWorker(cell_leader &leader, const worker_id &id);
--- a/test/error/organisation_failures.cpp
+++ b/test/error/organisation_failures.cpp
@@ -55,6 +55,22 @@
 
 } // namespace
 
+TEST_CASE("runs on unreachable workers count at the next leader, also those of a job that is final")
+{
+    // A cancelled job is final in the store while its runs may continue until their leases expire.
+    const bool cancelled = GENERATE(false, true);
+    full_cell cell("30000");
+    cell.cutBusyWorkers();
+    if (cancelled) {
+        cancelJobAt(cell, 0, makeJobKey(1));
+        REQUIRE(runUntil(cell, 500, [&] { return storedPhase(cell, makeJobKey(1)) == job_phase::Cancelled; }));
+    }
+    killDaemon(cell, *leaderOf(cell));
+    runFor(cell, 4500);
+    CHECK(cell.jobs[makeJobKey(2)].starts == 0);
+    cell.checkSecondStarts(cancelled ? 12000 : 40000);
+}
+
 TEST_CASE("a start without a reply counts until its run has provably ended")
 {
     full_cell cell("400");
--- a/test/fuzz/cell_model.cpp
+++ b/test/fuzz/cell_model.cpp
@@ -411,6 +411,44 @@
     return cell.violations;
 }
 
+/// Runs one case with two organisations whose limits are below their demand; the fakes check the limits at each start.
+/// The loads of both differ, so that the smaller one is not always at its limit.
+std::vector<std::string> runOrganisationCase(std::uint64_t seed)
+{
+    simulated_cell_settings settings;
+    settings.seed = seed;
+    settings.directWorkers = seed % 2 == 0 ? 64 : 0;
+    simulated_cell cell(settings);
+    const auto declare = [](const char *name, std::int64_t cores) {
+        const resources limit{millicores(cores * 1000), mebibytes(16 * 1024), accelerators(0)};
+        return organisation_declaration{organisation_id(name), {api_key(name)}, 2, limit};
+    };
+    applyConfiguration(cell, 2, {makeQueue(cell)}, {declare("a", 11), declare("b", 17)});
+    // Jobs that were submitted shortly before have runs, which may outlast a cancellation.
+    const auto recent = [](simulated_cell &random) {
+        return static_cast<std::uint64_t>(randomInt(random, 0, 4));
+    };
+    runFor(cell, 1500);
+    for (std::uint64_t number = 1; number <= 40; ++number) {
+        runFor(cell, randomInt(cell, 20, 600));
+        const job_key key = makeJobKey(number);
+        cell.jobs[key].apiKey = api_key(randomInt(cell, 0, 2) == 0 ? "a" : "b");
+        submitJob(cell, randomDaemon(cell), key, makeJob(cell));
+        switch (randomInt(cell, 0, 3)) {
+        case 0:
+            injectFault(cell);
+            break;
+        case 1:
+            cancelJobAt(cell, randomDaemon(cell), makeJobKey(number - std::min(number - 1, recent(cell))));
+            break;
+        default:
+            break;
+        }
+    }
+    finishCase(cell);
+    return cell.violations;
+}
+
 /// Runs the cases that RC_PARAMS selects.
 void checkCases(std::vector<std::string> (*run)(std::uint64_t seed))
 {
@@ -449,6 +487,11 @@
     checkCases(runHeldCallCase);
 }
 
+TEST_CASE("no organisation exceeds its limit under random faults")
+{
+    checkCases(runOrganisationCase);
+}
+
 TEST_CASE("seeds of executors that once violated a guarantee pass")
 {
     // A start with an empty payload, a crash at the end of a term, ends that a restarted worker discarded unseen.
