Give withdrawn organisations no share, and remove unused ones

Cause: the jobs of an organisation that the configuration no longer declares never counted as above its share, so they were ahead of those of others. Names that come and go used memory until the end of the term. Change: without a declaration the weight is 0 while others share the cell. An organisation without a declaration and without jobs is removed.

--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -164,7 +164,7 @@
 
 /// Use of a cell by one organisation, its limit and its share.
 struct organisation_usage {
-    bool declared = false; ///< In the newest configuration. Otherwise it has neither a limit nor a share.
+    bool declared = false; ///< In the newest configuration. Otherwise its weight is 0 and it has no limit.
     double weight = 0; ///< See organisation_declaration.
     resources limit; ///< 0 in a component: no limit.
     resources reserved; ///< By all runs of its jobs that have not provably ended.
--- a/packages/term/organisation_usage.cpp
+++ b/packages/term/organisation_usage.cpp
@@ -92,6 +92,20 @@
     updateSurplus(job);
 }
 
+/// Removes the organisations that are neither declared nor have jobs, so that names that come and go use no memory.
+void removeUnused(cell_state &state)
+{
+    std::set<const organisation_usage *> used;
+    for (const auto &[key, job] : state.jobs) {
+        used.insert(job->organisation);
+    }
+    // A final job may stay in this list until the next pass.
+    for (const cell_job &job : state.waiting) {
+        used.insert(job.organisation);
+    }
+    std::erase_if(state.organisations, [&used](const auto &entry) {
+        return !entry.second.declared && !used.contains(&entry.second) && entry.second.unended == resources();
+    });
 }
 
 } // namespace
@@ -116,6 +130,7 @@
             .with("limit_mib", declared.limit.memory)
             .with("reserved_millicores", usage.reserved.processors);
     }
+    removeUnused(state);
     for (const auto &[key, job] : state.jobs) {
         if (job->organisation != nullptr) {
             updateSurplus(*job);
@@ -192,12 +207,14 @@
         }
     }
     double weights = 0;
+    bool shared = false;
     for (const auto &[name, usage] : state.organisations) {
         weights += usage.active ? usage.weight : 0;
+        shared = shared || usage.declared;
     }
     for (auto &[name, usage] : state.organisations) {
         const double share = weights > 0 ? usage.weight / weights : 0;
-        usage.aboveShare = usage.declared
+        usage.aboveShare = shared
             && static_cast<double>(usage.reserved.processors.value)
                 > share * static_cast<double>(total.processors.value);
     }
--- a/test/correctness/organisations.cpp
+++ b/test/correctness/organisations.cpp
@@ -284,3 +284,42 @@
     shared.acceptedAt = utcNow;
     CHECK(shared.add("d", cores(1)).surplus);
 }
+
+TEST_CASE("an organisation above its share comes after one below it, and withdrawn organisations have no share")
+{
+    const bool withdrawn = GENERATE(false, true);
+    shared_state shared;
+    cell_job &running = shared.add("running", cores(4), 4);
+    shared.place();
+    shared.add("a", cores(4));
+    shared.organisation = "b";
+    const cell_job &below = shared.add("b", cores(4), 2);
+    if (withdrawn) {
+        cell_configuration configuration;
+        configuration.organisations = {{organisation_id("b"), {}, 100, {}}};
+        applyOrganisations(shared.state, configuration);
+    }
+    shared.end(running, 0);
+    shared.place(600);
+    CHECK(below.steps[0].placed == 1);
+}
+
+TEST_CASE("without organisations in the configuration the order and the policy are as before")
+{
+    shared_state shared(cores(1), 1);
+    const cell_configuration none;
+    applyOrganisations(shared.state, none);
+    CHECK(shared.state.organisations.empty());
+    CHECK(selectPolicy(policyInputs(shared.state)).ties == tie_order::LatestStart);
+    // These jobs were accepted while there were organisations.
+    for (const char *key : {"1", "2", "3"}) {
+        shared.organisation = *key == '2' ? "b" : "a";
+        shared.add(key, cores(5));
+    }
+    CHECK(shared.place() == 3);
+    const cell_job &first = shared.add("4", cores(16));
+    shared.organisation.clear();
+    shared.add("5", cores(16));
+    updateShares(shared.state, cores(16), at(0).uptime);
+    CHECK(collectWaiting(shared.state, utc_time(utcNow)).front().job == &first);
+}
