Accept the resubmission of a job above a lowered limit

Cause: a job that was accepted before its organisation's limit was lowered was refused with 429 when its caller repeated the request, although it will run. Change: the daemon reads the job from the store before it refuses; a known job is accepted. Measured: "unless it was accepted before" answered "refused" before and passes.

--- a/packages/process/cell_requests.cpp
+++ b/packages/process/cell_requests.cpp
@@ -57,6 +57,36 @@
     done(call_refused{"the store cannot be reached", storeRetryAfter});
 }
 
+/// Refuses a job that exceeds the limit of its organisation, unless it was accepted before the limit was lowered. Such
+/// a job will run, so a refusal of its resubmission would be wrong.
+void refuseAboveLimit(cell_daemon &daemon,
+                      const caller_request &request,
+                      const job_key &key,
+                      const caller_done &done,
+                      const clock_reading &now)
+{
+    const auto refuse = [&daemon, done] {
+        addCount(*daemon.context.counters, cell_metrics::jobsRefused);
+        done(call_refused{
+            "a step of the job exceeds the limit of its organisation", limitRetryAfter, refusal_cause::Load});
+    };
+    if (daemon.intake->storeLost) {
+        refuse();
+        return;
+    }
+    const auto answerKnown = [&daemon, refuse, done](const caller_answer &state) {
+        if (std::holds_alternative<no_such_job>(state)) {
+            refuse();
+        } else if (std::holds_alternative<job_status>(state)) {
+            addCount(*daemon.context.counters, cell_metrics::jobsKnown);
+            done(job_accepted{});
+        } else {
+            done(state);
+        }
+    };
+    queryJob(daemon.context, key, request.timeout, countWhileOpen(daemon, answerKnown), now);
+}
+
 void submitJob(cell_daemon &daemon,
                const caller_request &request,
                const submit_call &call,
@@ -90,9 +120,7 @@
             .with("organisation", organisation)
             .with("tasks", step->count)
             .with("task_millicores", step->need.processors);
-        addCount(*daemon.context.counters, cell_metrics::jobsRefused);
-        done(call_refused{
-            "a step of the job exceeds the limit of its organisation", limitRetryAfter, refusal_cause::Load});
+        refuseAboveLimit(daemon, request, key, done, now);
         return;
     }
     accepted_job job{key, call.job, queue.policy, now.utc, organisation};
--- a/test/correctness/organisations.cpp
+++ b/test/correctness/organisations.cpp
@@ -200,6 +200,20 @@
     CHECK(runUntil(cell, 12000, [&] { return storedPhase(cell, makeJobKey(1)) == job_phase::Completed; }));
 }
 
+TEST_CASE("a gang that alone exceeds the limit is refused, unless it was accepted before")
+{
+    shared_cell cell;
+    const submit_call gang{makeOneStepJob(8, 1, "60000", true), {}};
+    cell.apply(3, {api_key("secret")}, coresOnly(7));
+    CHECK(cell.answer(gang, "secret") == "refused");
+    cell.apply(4, {api_key("secret")}, {});
+    CHECK(cell.answer(gang, "secret") == "served");
+    // A caller that repeats its request must not be told that the job will not run.
+    cell.apply(5, {api_key("secret")}, coresOnly(7));
+    CHECK(cell.answer(gang, "secret") == "served");
+    CHECK(cell.answer(submit_call{makeOneStepJob(9, 1, "100"), {}}, "secret") == "served");
+}
+
 TEST_CASE("each component of a limit holds, and a wide step runs in waves")
 {
     const auto [limit, need, first] = GENERATE(table<resources, resources, std::size_t>(
