Count the runs of final jobs for as long as a worker reports runs of earlier terms

Cause: a worker that receives polls but no stops keeps the runs of a cancelled job, and the polls extend their leases. The next leader counted such runs only until the leases that its predecessors had granted. Change: while a worker reports runs that this term did not place there, the count lasts until the leases that its polls have granted.

--- a/packages/term/organisation_usage.cpp
+++ b/packages/term/organisation_usage.cpp
@@ -73,6 +73,23 @@
     }
 }
 
+/// Ends the count of runs of an earlier term whose jobs were final already, once their leases have expired. As long as
+/// a worker reports runs that this term did not place there, its polls extend their leases, and they may be these.
+void updateUnended(const cell_state &state, organisation_usage &usage, time_point uptime)
+{
+    if (usage.unended == resources()) {
+        return;
+    }
+    for (const cell_worker *worker : state.slots) {
+        if (worker != nullptr && worker->orphanRuns > 0 && worker->missedPolls == 0) {
+            usage.unendedUntil = std::max(usage.unendedUntil, worker->leasesEndBy);
+        }
+    }
+    if (uptime >= usage.unendedUntil) {
+        usage.unended = {};
+    }
+}
+
 /// Determines whether the job is beyond the weight of its organisation: at least as many jobs as the weight were
 /// accepted before it in the same second. With a weight below 1, one job a second is within it.
 void updateSurplus(cell_job &job)
@@ -192,9 +209,7 @@
         return;
     }
     for (auto &[name, usage] : state.organisations) {
-        if (uptime >= usage.unendedUntil) {
-            usage.unended = {};
-        }
+        updateUnended(state, usage, uptime);
         usage.kept = {};
         usage.favoured = nullptr;
         usage.favouredNeed = {};
--- a/test/error/organisation_failures.cpp
+++ b/test/error/organisation_failures.cpp
@@ -71,6 +71,25 @@
     cell.checkSecondStarts(cancelled ? 12000 : 40000);
 }
 
+TEST_CASE("runs of a cancelled job that no stop reaches count at the next leader for as long as they are reported")
+{
+    // Polls extend the leases of such runs, so they continue after those that earlier leaders have granted.
+    full_cell cell("60000");
+    for (const auto &worker : cell.workers) {
+        worker->ordersArrive = worker->running.empty();
+    }
+    cancelJobAt(cell, 0, makeJobKey(1));
+    REQUIRE(runUntil(cell, 500, [&] { return storedPhase(cell, makeJobKey(1)) == job_phase::Cancelled; }));
+    killDaemon(cell, *leaderOf(cell));
+    runFor(cell, 20000);
+    CHECK(cell.jobs[makeJobKey(2)].starts == 0);
+    for (const auto &worker : cell.workers) {
+        worker->ordersArrive = true;
+    }
+    // The leases of the last polls that reported the runs last 6.4 s.
+    cell.checkSecondStarts(8000);
+}
+
 TEST_CASE("a start without a reply counts until its run has provably ended")
 {
     full_cell cell("400");
