Do not favour surplus that waits for the limit of its organisation

Cause: a surplus gang that had waited long enough for the limit took it from jobs of its organisation that were within the weight. Change: surplus is not favoured.

--- a/packages/term/organisation_usage.cpp
+++ b/packages/term/organisation_usage.cpp
@@ -46,13 +46,13 @@
 
 /// True if the step waits for the limit for as long as it is expected to run. With an objective of twice the duration,
 /// it can then still be in time. Steps with less remaining work, which are ahead of it, otherwise use up every part of
-/// the limit that becomes free.
+/// the limit that becomes free. Surplus waits behind all others in any case.
 bool isFavoured(const cell_job &job, std::uint32_t number, time_point uptime)
 {
     const cell_step &step = job.steps[number];
     const job_step &declared = job.accepted.job.steps[number];
     const resources &limit = job.organisation->limit;
-    return step.limitedSince && step.done + step.placed < step.count && !isFinal(job.progress.phase)
+    return !job.surplus && step.limitedSince && step.done + step.placed < step.count && !isFinal(job.progress.phase)
         && uptime >= *step.limitedSince + declared.estimate
         && (declared.gang || exceedsLimit(limit, declared.need, favouredTaskPart))
         && !exceedsLimit(limit, declared.need, declared.gang ? declared.count : 1);
--- a/test/correctness/organisations.cpp
+++ b/test/correctness/organisations.cpp
@@ -263,6 +263,20 @@
     }
 }
 
+TEST_CASE("a surplus gang that waits for the limit holds no job within the weight back")
+{
+    shared_state shared(cores(4), 1);
+    cell_job &first = shared.add("first", cores(1), 4);
+    shared.place();
+    REQUIRE(shared.add("surplus", cores(1), 4, true).surplus);
+    shared.place(10);
+    shared.acceptedAt += 1000;
+    const cell_job &within = shared.add("within", cores(1));
+    shared.end(first, 0);
+    shared.place(1100);
+    CHECK(within.steps[0].placed == 1);
+}
+
 TEST_CASE("surplus waits behind all other jobs, and one job a second is within any weight")
 {
     const auto [weight, jobs, within] =
