--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -118,6 +118,9 @@
     step_advice advice; ///< What the advisor has said about the workers for this step.
     run_number failedRun; ///< Latest run of a gang that was counted as a failure.
     step_durations durations; ///< Of its tasks that have ended.
+    /// In uptime; since then no task could start because of the limit of the organisation. Empty if it is not waiting
+    /// for the limit.
+    std::optional<time_point> limitedSince;
 };
 
 /// A job that is not final, or that still has runs or unstored changes.
@@ -128,6 +131,8 @@
     std::vector<placed_run *> runs; ///< By position; null if nothing is placed.
     struct queue_history *history = nullptr; ///< Of the job's queue.
     struct organisation_usage *organisation = nullptr; ///< Null if the job belongs to none.
+    /// Number of jobs of its organisation that were accepted before it in the same second.
+    std::uint32_t acceptedBefore = 0;
     bool surplus = false; ///< Submitted beyond the weight of its organisation.
     waiting_hook waitingHook;
     bool cancelled = false; ///< The caller has cancelled the job.
@@ -159,13 +164,21 @@
 
 /// Use of a cell by one organisation, its limit and its share.
 struct organisation_usage {
-    bool declared = false; ///< In the newest configuration. Otherwise it has neither a limit nor a share.
+    bool declared = false; ///< In the newest configuration. Otherwise its weight is 0 and it has no limit.
     double weight = 0; ///< See organisation_declaration.
     resources limit; ///< 0 in a component: no limit.
     resources reserved; ///< By all runs of its jobs that have not provably ended.
+    /// Need of runs of an earlier term whose jobs were final already. It counts until `unendedUntil`, in uptime, when
+    /// the leases of these runs have expired.
+    resources unended;
+    time_point unendedUntil;
     std::map<std::int64_t, std::uint32_t> submitted; ///< Number of jobs by the second of their acceptance.
-    /// Part of the limit that the pass in progress keeps for a gang that does not fit into it at present.
+    /// Part of the limit that the pass in progress keeps for gangs that cannot start at present.
     resources kept;
+    /// Step that has waited too long for the limit. Nothing else of the organisation starts in the part of the limit
+    /// that it needs, whatever the order of the steps. Null if there is none; valid during a pass only.
+    const cell_step *favoured = nullptr;
+    resources favouredNeed;
     bool active = false; ///< It has waiting jobs or runs in the pass in progress.
     bool aboveShare = false; ///< It uses more of the cell than its weight entitles it to.
 };
