Replay uneven workers, durations with tails and steps whose tasks spread

Cause: the replay knew equal workers and one duration for all tasks of a step, so neither the learned run times nor the match of tasks to workers could be measured. Change: loads have workers of several speeds, tails and spreads; two loads are modelled on the uneven deployments. measure_policies and measure_placement compare the settings for overload with the argument 'overload'; figures are also counted for the largest tenth of the jobs of each queue. Result: the earlier loads draw the same random numbers as before.

--- a/test/performance/cell_replay.cpp
+++ b/test/performance/cell_replay.cpp
@@ -3,6 +3,7 @@
 #include "term/advice_selection.h"
 #include "term/job_placement.h"
 #include "term/run_lifecycle.h"
+#include "term/sustained_speed.h"
 #include "term/worker_speed.h"
 
 #include <algorithm>
@@ -10,6 +11,7 @@
 #include <cstdio>
 #include <ctime>
 #include <deque>
+#include <limits>
 #include <numeric>
 #include <optional>
 #include <random>
@@ -22,6 +24,8 @@
 constexpr std::int64_t utcStart = 1700000000000;
 /// Interval of the reports of each worker; a multiple of the interval of the passes.
 constexpr std::int64_t reportMs = 300;
+/// Interval of the upkeep of the leader, as in cell_leader.cpp.
+constexpr std::int64_t upkeepMs = 100;
 /// Time from a placement to the start on the worker: a transaction and a call.
 constexpr std::int64_t startMs = 25;
 /// Time for the remaining work after the last arrival.
@@ -37,7 +41,8 @@
     accepted_job accepted;
     const replay_queue *queue = nullptr;
     std::int64_t arrivesMs = 0;
-    std::int64_t taskMs = 0; ///< True duration of each task.
+    std::vector<std::int64_t> taskMs; ///< True duration of each task on a worker of speed 1.
+    double work = 0; ///< In core-milliseconds.
     bool alwaysFails = false;
     double jobValue = 0;
     std::int64_t objectiveMs = 0;
@@ -74,6 +79,7 @@
     std::vector<replay_run> runs; ///< In the order of their begin.
     std::vector<worker_set> faulty; ///< By fault of the load: its workers.
     std::vector<replay_advice_request> adviceRequests;
+    bool uneven = false; ///< The workers were considered uneven at some time.
     std::int64_t nowMs = 0;
 };
 
@@ -115,6 +121,25 @@
     return job_key(text);
 }
 
+/// Draws the durations of the tasks of a step around its duration. The tasks of a gang take equally long.
+std::vector<std::int64_t>
+drawTasks(std::mt19937_64 &random, const replay_queue &queue, const job_step &step, double durationMs)
+{
+    std::vector<std::int64_t> all;
+    for (std::uint32_t index = 0; index < (step.gang ? 1 : step.count); ++index) {
+        double took = durationMs;
+        if (queue.taskSpread > 0 && !step.gang) {
+            took = draw(random, took, std::numeric_limits<double>::max(), queue.taskSpread);
+        }
+        if (queue.tailShare > 0 && uniform(random) < queue.tailShare) {
+            took *= queue.tailFactor;
+        }
+        all.push_back(std::max<std::int64_t>(20, static_cast<std::int64_t>(took)));
+    }
+    all.resize(step.count, all.front());
+    return all;
+}
+
 replay_job drawJob(replay &world, const replay_queue &queue, std::int64_t atMs)
 {
     constexpr double widthSpread = 0.7;
@@ -130,7 +155,7 @@
     step.need.processors.value = static_cast<std::int64_t>(cores * 1000);
     step.gang = uniform(world.random) < queue.gangShare;
     const double duration = draw(world.random, queue.meanMs, queue.durationLimitMs, sizeSpread);
-    job.taskMs = std::max<std::int64_t>(20, static_cast<std::int64_t>(duration));
+    job.taskMs = drawTasks(world.random, queue, step, duration);
     const double error = std::pow(1 + queue.estimateError, 2 * uniform(world.random) - 1);
     step.estimate = milliseconds(static_cast<std::int64_t>(duration * error));
     job.accepted.job.steps.push_back(step);
@@ -151,11 +176,13 @@
         policy.advice = terms;
     }
     constexpr int adviceWorkers = 30;
-    const double chain = static_cast<double>(job.taskMs) + queue.adviceMs + adviceWorkers * queue.adviceMsForWorker;
+    const auto longest = static_cast<double>(*std::max_element(job.taskMs.begin(), job.taskMs.end()));
+    const double chain = longest + queue.adviceMs + adviceWorkers * queue.adviceMsForWorker;
     job.objectiveMs = static_cast<std::int64_t>(queue.stretch * chain) + queue.targetMs;
     const double meanWork = queue.meanTasks * queue.meanMs * queue.meanCores;
-    const double work = step.count * duration * cores / meanWork;
-    job.jobValue = queue.jobValue * std::min(maxValueFactor, fixedValueShare + (1 - fixedValueShare) * work);
+    job.work = step.count * duration * cores;
+    job.jobValue =
+        queue.jobValue * std::min(maxValueFactor, fixedValueShare + (1 - fixedValueShare) * job.work / meanWork);
     return job;
 }
 
@@ -281,6 +308,19 @@
     return nullptr;
 }
 
+double speedOf(const replay &world, const cell_worker &worker)
+{
+    const std::vector<double> &speeds = world.load.workerSpeeds;
+    const double sustained = speeds.empty() ? 1 : speeds[worker.slot.value % speeds.size()];
+    const replay_fault *fault = faultOf(world, worker);
+    return fault == nullptr || fault->failsAll ? sustained : sustained / fault->slowdown;
+}
+
+double taskMsOf(const replay_run &run)
+{
+    return static_cast<double>(run.job->taskMs[run.placed->position.value]);
+}
+
 void beginRun(replay &world, placed_run &run)
 {
     replay_run began;
@@ -290,10 +330,11 @@
     const replay_fault *fault = faultOf(world, *run.worker);
     const bool failing = began.job->alwaysFails || (fault != nullptr && fault->failsAll);
     if (failing || uniform(world.random) < began.job->queue->failureShare) {
-        began.failsAtMs = uniform(world.random) * static_cast<double>(began.job->taskMs);
+        began.failsAtMs = uniform(world.random) * taskMsOf(began);
     }
     run.state = run_state::Running;
     run.sent = true;
+    markBegun(world.state, run, clockOf(began.beganMs));
     world.runs.push_back(began);
 }
 
@@ -310,26 +351,23 @@
     if (run.failsAtMs >= 0 && run.doneMs >= run.failsAtMs) {
         return run_end::Failed;
     }
-    return run.doneMs >= static_cast<double>(run.job->taskMs) ? std::optional(run_end::Done) : std::nullopt;
+    return run.doneMs >= taskMsOf(run) ? std::optional(run_end::Done) : std::nullopt;
 }
 
 /// Advances all runs by one pass. The members of a gang progress at the speed of its slowest worker.
 void advanceRuns(replay &world)
 {
-    const auto speedOf = [&world](const replay_run &run) {
-        const replay_fault *fault = faultOf(world, *run.placed->worker);
-        return fault == nullptr || fault->failsAll ? 1.0 : 1.0 / fault->slowdown;
-    };
     for (const replay_run &run : world.runs) {
-        run.job->gangSpeed = 1;
+        run.job->gangSpeed = std::numeric_limits<double>::max();
     }
     for (const replay_run &run : world.runs) {
-        run.job->gangSpeed = std::min(run.job->gangSpeed, speedOf(run));
+        run.job->gangSpeed = std::min(run.job->gangSpeed, speedOf(world, *run.placed->worker));
     }
     std::vector<std::pair<placed_run *, run_end>> endedRuns;
     std::erase_if(world.runs, [&](replay_run &run) {
         const bool gang = run.job->accepted.job.steps.front().gang;
-        const std::optional<run_end> how = advanceRun(world, run, gang ? run.job->gangSpeed : speedOf(run));
+        const std::optional<run_end> how =
+            advanceRun(world, run, gang ? run.job->gangSpeed : speedOf(world, *run.placed->worker));
         if (how) {
             endedRuns.emplace_back(run.placed, *how);
         }
@@ -344,7 +382,7 @@
 {
     std::unordered_map<const placed_run *, int> percents;
     for (const replay_run &run : world.runs) {
-        const double done = run.doneMs / static_cast<double>(run.job->taskMs);
+        const double done = run.doneMs / taskMsOf(run);
         percents.emplace(run.placed, static_cast<int>(std::min(1.0, done) * wholeWork));
     }
     for (const auto &[id, worker] : world.state.workers) {
@@ -490,12 +528,44 @@
     }
 }
 
+/// Share of its value that a job has earned.
+double earnedShareOf(const replay_job &job)
+{
+    if (!job.completedMs) {
+        return 0;
+    }
+    const auto took = static_cast<double>(*job.completedMs - job.arrivesMs);
+    const auto objective = static_cast<double>(job.objectiveMs);
+    if (took <= objective) {
+        return 1;
+    }
+    return took <= lateFactor * objective ? job.queue->lateValueShare : 0;
+}
+
+/// Counts the results of the largest tenth of the jobs of one queue.
+void countLargest(std::vector<const replay_job *> jobs, replay_figures &figures)
+{
+    std::sort(jobs.begin(), jobs.end(), [](const replay_job *left, const replay_job *right) {
+        return left->work > right->work;
+    });
+    jobs.resize((jobs.size() + 9) / 10);
+    for (const replay_job *job : jobs) {
+        ++figures.largestJobs;
+        figures.largestAttainable += job->jobValue;
+        const double share = earnedShareOf(*job);
+        figures.largestServed += share > 0 ? 1 : 0;
+        figures.largestEarned += share * job->jobValue;
+    }
+}
+
 std::vector<replay_figures> count(const replay &world)
 {
     std::vector<replay_figures> all;
     for (const replay_queue &queue : world.load.queues) {
         replay_figures figures;
         figures.queue = queue.name;
+        figures.uneven = world.uneven;
+        std::vector<const replay_job *> counted;
         for (const replay_job &job : world.jobs) {
             if (job.queue != &queue) {
                 continue;
@@ -506,19 +576,13 @@
             }
             ++figures.jobs;
             figures.attainable += job.jobValue;
-            if (!job.completedMs) {
-                continue;
-            }
-            const auto took = static_cast<double>(*job.completedMs - job.arrivesMs);
-            const auto objective = static_cast<double>(job.objectiveMs);
-            if (took <= objective) {
-                ++figures.inTime;
-                figures.earned += job.jobValue;
-            } else if (took <= lateFactor * objective) {
-                ++figures.late;
-                figures.earned += job.jobValue * queue.lateValueShare;
-            }
+            const double share = earnedShareOf(job);
+            figures.inTime += share == 1 ? 1 : 0;
+            figures.late += share > 0 && share < 1 ? 1 : 0;
+            figures.earned += share * job.jobValue;
+            counted.push_back(&job);
         }
+        countLargest(std::move(counted), figures);
         all.push_back(figures);
     }
     return all;
@@ -529,7 +593,7 @@
 std::vector<replay_figures>
 replayLoad(const replay_load &load, const cell_policy &policy, std::uint64_t seed, pass_meter *meter)
 {
-    replay world{load, std::mt19937_64(seed), {}, {}, {}, {}, {}, {}, 0};
+    replay world{load, std::mt19937_64(seed), {}, {}, {}, {}, {}, {}, false, 0};
     world.state.policy = policy;
     if (load.waitingJobs == 0) {
         drawArrivals(world);
@@ -549,6 +613,11 @@
         if (world.nowMs % reportMs == 0) {
             report(world);
         }
+        if (world.nowMs % upkeepMs == 0) {
+            assessUnevenness(world.state);
+            world.uneven = world.uneven || world.state.unevenWorkers;
+            world.state.policy.matchesSpeeds = policy.matchesSpeeds && world.state.unevenWorkers;
+        }
         place(world, meter);
         storeChanges(world);
         watchIdleWaits(world);
@@ -765,4 +834,86 @@
     return load;
 }
 
+replay_load tailedUnevenLoad()
+{
+    replay_load load = grownPaguriLoad();
+    load.name = "uneven with tails";
+    load.advisors = 39;
+    load.workerSpeeds = {0.6, 1, 1.6};
+    replay_queue &gangs = load.queues[0];
+    gangs.name = "large-gangs";
+    gangs.jobsPerSecond = 4.98; // 4.15 jobs of 1.2 steps.
+    gangs.meanMs = 4200;
+    gangs.durationLimitMs = 10500;
+    gangs.estimateError = 0.5;
+    gangs.jobValue = 8.7;
+    gangs.adviceMs = 559;
+    gangs.adviceMsForWorker = 8.06;
+    replay_queue &wide = load.queues[1];
+    wide.name = "wide-jobs";
+    wide.jobsPerSecond = 6.94;
+    wide.meanMs = 2900;
+    wide.durationLimitMs = 7300;
+    wide.estimateError = 0.5;
+    wide.jobValue = 3.25;
+    wide.adviceMs = 156;
+    wide.adviceMsForWorker = 2.34;
+    replay_queue &urgent = load.queues[2];
+    urgent.name = "urgent-jobs";
+    urgent.jobsPerSecond = 77.7;
+    urgent.meanMs = 850;
+    urgent.durationLimitMs = 2100;
+    urgent.estimateError = 0.2;
+    urgent.jobValue = 0.407;
+    for (replay_queue &queue : load.queues) {
+        queue.taskSpread = 0.2;
+        queue.tailShare = 0.03;
+        queue.tailFactor = 7;
+    }
+    load.bursts = {
+        {"urgent-jobs", 5000, 4000, 1.9}, {"wide-jobs", 12000, 4000, 1.7}, {"large-gangs", 20000, 4000, 1.8}};
+    return load;
+}
+
+replay_load largeUnevenLoad()
+{
+    replay_load load = tailedUnevenLoad();
+    load.name = "uneven, large";
+    load.coresPerWorker = 64;
+    load.workerSpeeds = {0.8, 1, 1.25};
+    replay_queue &gangs = load.queues[0];
+    gangs.jobsPerSecond = 3.42; // 2.85 jobs of 1.2 steps.
+    gangs.meanMs = 6200;
+    gangs.durationLimitMs = 15500;
+    gangs.meanCores = 18;
+    gangs.coreLimit = 30;
+    gangs.estimateError = 0.2;
+    gangs.jobValue = 11.1;
+    gangs.adviceMs = 702;
+    gangs.adviceMsForWorker = 10.01;
+    replay_queue &wide = load.queues[1];
+    wide.jobsPerSecond = 16;
+    wide.meanMs = 2200;
+    wide.durationLimitMs = 5500;
+    wide.meanCores = 6.9;
+    wide.coreLimit = 21;
+    wide.estimateError = 0.2;
+    wide.jobValue = 2.15;
+    wide.adviceMs = 104;
+    wide.adviceMsForWorker = 1.43;
+    replay_queue &urgent = load.queues[2];
+    urgent.jobsPerSecond = 66.1;
+    urgent.meanMs = 1000;
+    urgent.durationLimitMs = 2500;
+    urgent.meanCores = 9.9;
+    urgent.coreLimit = 30;
+    urgent.estimateError = 0.9;
+    urgent.jobValue = 0.419;
+    for (replay_queue &queue : load.queues) {
+        queue.tailShare = 0;
+    }
+    load.bursts = {{"wide-jobs", 5000, 6500, 2}, {"urgent-jobs", 18000, 6500, 1.9}};
+    return load;
+}
+
 } // namespace sesamespar::measure
--- a/test/performance/cell_replay.h
+++ b/test/performance/cell_replay.h
@@ -34,6 +34,9 @@
     double adviceMs = 0; ///< Time of the advisor for one request.
     double adviceMsForWorker = 0; ///< Additional time for each worker of the request.
     double suitableShare = 1; ///< Share of the workers that may run a step.
+    double taskSpread = 0; ///< Standard deviation of the durations of a step's tasks, as a share of their mean.
+    double tailShare = 0; ///< Share of the tasks that take `tailFactor` times as long; of the jobs, for gangs.
+    double tailFactor = 1;
 };
 
 /// A higher arrival rate of a queue for a time.
@@ -60,6 +63,7 @@
     std::vector<replay_burst> bursts;
     std::vector<replay_fault> faults;
     std::size_t workers = 48;
+    std::vector<double> workerSpeeds; ///< Of the workers in turn; empty if all have speed 1.
     std::int64_t coresPerWorker = 16;
     std::size_t advisors = 7; ///< Machines that call the advisor, each with one request at a time.
     std::int64_t ticketMs = 1500; ///< Validity of the advisor's tickets.
@@ -77,6 +81,11 @@
     std::size_t jobs = 0; ///< Number of jobs that can succeed.
     std::size_t inTime = 0;
     std::size_t late = 0;
+    std::size_t largestJobs = 0; ///< The largest tenth of `jobs`, by their work.
+    std::size_t largestServed = 0; ///< Number of these that were completed within three times their objective.
+    double largestAttainable = 0;
+    double largestEarned = 0;
+    bool uneven = false; ///< The leader considered the workers of the cell uneven at some time.
     /// Longest time in which a job had no run although it fitted twice over on its suitable workers and less than half
     /// of the cell was in use.
     std::int64_t longestIdleWaitMs = 0;
@@ -113,4 +122,9 @@
 replay_load grownPaguriLoad();
 replay_load grownPompamassettoLoad();
 
+/// The loads of two deployments of 350 workers of unequal speeds, with the bursts of their peak days. Durations of the
+/// first have a tail.
+replay_load tailedUnevenLoad();
+replay_load largeUnevenLoad();
+
 } // namespace sesamespar::measure
--- a/test/performance/measure_placement.cpp
+++ b/test/performance/measure_placement.cpp
@@ -1,5 +1,6 @@
 // Cost of a placement pass of a cell's leader on cells of the grown sites: processor time and heap allocations, and how
-// they grow with the workers and the waiting jobs. Usage: measure_placement [SEED]. The cell is full and a fixed number
+// they grow with the workers and the waiting jobs. Usage: measure_placement [SEED [overload]]. With `overload` the
+// policy is that for organisations and uneven workers, on workers of three speeds. The cell is full and a fixed number
 // of jobs waits, among them gangs of up to 60 tasks. Run with GLOG_minloglevel=3, since the log lines of the placements
 // are not part of the figures.
 #include "cell_replay.h"
@@ -10,6 +11,7 @@
 #include <iomanip>
 #include <iostream>
 #include <new>
+#include <string>
 
 using namespace sesamespar;
 using namespace sesamespar::measure;
@@ -62,11 +64,11 @@
 }
 
 /// Prints a row and returns the mean time of a pass in microseconds.
-double printRow(const replay_load &load, std::uint64_t seed)
+double printRow(const replay_load &load, const cell_policy &policy, std::uint64_t seed)
 {
     pass_meter meter;
     meter.countAllocations = countAllocations;
-    replayLoad(load, cell_policy(), seed, &meter);
+    replayLoad(load, policy, seed, &meter);
     std::erase_if(meter.passes, [](const pass_cost &cost) { return cost.atMs < warmUpMs; });
     std::vector<double> times;
     double sum = 0;
@@ -113,22 +115,32 @@
 int main(int argc, char **argv)
 {
     const std::uint64_t seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 20261205;
+    const bool overload = argc > 2 && std::string(argv[2]) == "overload";
+    cell_policy policy;
+    if (overload) {
+        policy.ties = tie_order::LeastWork;
+        policy.reservedShare = 0.12;
+        policy.durations = duration_source::Learned;
+        policy.matchesSpeeds = true;
+    }
     std::cout
-        << "command: measure_placement " << seed << "\nprocessor time of a placement pass in us, one pass every "
-        << passMs << " ms of simulated time\n"
+        << "command: measure_placement " << seed << (overload ? " overload" : "")
+        << "\nprocessor time of a placement pass in us, one pass every " << passMs << " ms of simulated time\n"
         << "| load | workers | waiting jobs | tasks placed a pass | mean | p50 | p99 | max | allocations a pass |\n"
         << "|---|---|---|---|---|---|---|---|---|\n";
-    for (const replay_load &site : {grownPaguriLoad(), grownPompamassettoLoad()}) {
+    const std::vector<replay_load> sites = overload ? std::vector{tailedUnevenLoad(), largeUnevenLoad()}
+                                                    : std::vector{grownPaguriLoad(), grownPompamassettoLoad()};
+    for (const replay_load &site : sites) {
         double first = 0;
         double last = 0;
         for (const std::size_t workers : {48, 350, 780, 1000}) {
-            last = printRow(makeFullCell(site, workers, usualWaiting), seed);
+            last = printRow(makeFullCell(site, workers, usualWaiting), policy, seed);
             first = first > 0 ? first : last;
         }
         const double workersFactor = last / first;
         first = 0;
         for (const std::size_t waiting : {50, 200, 500, 1000}) {
-            last = printRow(makeFullCell(site, grownWorkers, waiting), seed);
+            last = printRow(makeFullCell(site, grownWorkers, waiting), policy, seed);
             first = first > 0 ? first : last;
         }
         std::cout << site.name << std::setprecision(2) << ": the mean grows by " << workersFactor
--- a/test/performance/measure_policies.cpp
+++ b/test/performance/measure_policies.cpp
@@ -1,11 +1,13 @@
 // Replays the loads of both sites, as they are and after their growth to 350 workers, with the default policy of a
 // cell, with the simplest policy, and with each part of the default replaced by the simplest choice. Usage:
-// measure_policies [SEED [SEEDS]]. Prints a table of the share of the jobs' value that was earned, as a mean over SEEDS
-// seeds from SEED on.
+// measure_policies [SEED [SEEDS [overload]]]. Prints a table of the share of the jobs' value that was earned, as a mean
+// over SEEDS seeds from SEED on. With `overload` it compares the settings that address overload and uneven workers, on
+// the loads of the uneven deployments and of a grown site.
 #include "cell_replay.h"
 
 #include <algorithm>
 #include <cstdlib>
+#include <deque>
 #include <future>
 #include <iomanip>
 #include <iostream>
@@ -17,6 +19,8 @@
 namespace {
 
 constexpr std::uint64_t defaultSeeds = 3;
+/// Number of rows that are computed at the same time; the machine is shared.
+constexpr std::size_t parallelRows = 3;
 
 /// Range of seeds over which each result is averaged.
 struct seed_range {
@@ -58,6 +62,40 @@
     return all;
 }
 
+/// The policy for overload with each of its parts varied.
+std::vector<named_policy> overloadPolicies()
+{
+    cell_policy overload;
+    overload.ties = tie_order::LeastWork;
+    overload.reservedShare = 0.12;
+    overload.durations = duration_source::Learned;
+    overload.matchesSpeeds = true;
+    std::vector<named_policy> all{{"default", cell_policy()}, {"overload", overload}};
+    const auto with = [&](const std::string &name, cell_policy policy, auto change) {
+        change(policy);
+        all.push_back({name, policy});
+    };
+    const auto estimateAlone = [](cell_policy &policy) {
+        policy.durations = duration_source::EstimateAndMean;
+        policy.estimateWeight = 1;
+    };
+    with("default, estimate alone", {}, estimateAlone);
+    with("default, learned", {}, [](cell_policy &policy) { policy.durations = duration_source::Learned; });
+    with("default, least work", {}, [](cell_policy &policy) { policy.ties = tie_order::LeastWork; });
+    with("overload, estimate alone", overload, estimateAlone);
+    with("overload, half and half", overload, [](cell_policy &policy) {
+        policy.durations = duration_source::EstimateAndMean;
+    });
+    with("overload, latest start", overload, [](cell_policy &policy) { policy.ties = tie_order::LatestStart; });
+    with("overload, speeds ignored", overload, [](cell_policy &policy) { policy.matchesSpeeds = false; });
+    for (const double share : {0.0, 0.06, 0.2}) {
+        std::ostringstream name;
+        name << "overload, reserved " << share;
+        with(name.str(), overload, [share](cell_policy &policy) { policy.reservedShare = share; });
+    }
+    return all;
+}
+
 std::vector<replay_load> loads()
 {
     std::vector<replay_load> all;
@@ -78,7 +116,7 @@
     return all;
 }
 
-std::string makeRow(const replay_load &load, const named_policy &entry, const seed_range &seeds)
+std::string makeRow(const replay_load &load, const named_policy &entry, const seed_range &seeds, bool largest)
 {
     double total = 0;
     std::vector<replay_figures> sums;
@@ -92,6 +130,13 @@
         for (std::size_t queue = 0; queue < sums.size(); ++queue) {
             sums[queue].attainable += figures[queue].attainable;
             sums[queue].earned += figures[queue].earned;
+            sums[queue].largestAttainable += figures[queue].largestAttainable;
+            sums[queue].largestEarned += figures[queue].largestEarned;
+            sums[queue].jobs += figures[queue].jobs;
+            sums[queue].inTime += figures[queue].inTime;
+            sums[queue].late += figures[queue].late;
+            sums[queue].largestJobs += figures[queue].largestJobs;
+            sums[queue].largestServed += figures[queue].largestServed;
         }
     }
     std::ostringstream row;
@@ -100,6 +145,13 @@
     for (const replay_figures &queue : sums) {
         row << " | " << queue.earned / queue.attainable;
     }
+    if (largest) {
+        for (const replay_figures &queue : sums) {
+            const double served = static_cast<double>(queue.inTime + queue.late) / static_cast<double>(queue.jobs);
+            const double ofLargest = static_cast<double>(queue.largestServed) / static_cast<double>(queue.largestJobs);
+            row << " | " << queue.largestEarned / queue.largestAttainable << " | " << ofLargest / served;
+        }
+    }
     row << " |\n";
     return row.str();
 }
@@ -115,12 +167,23 @@
     if (argc > 2) {
         seeds.count = std::max<std::uint64_t>(1, std::strtoull(argv[2], nullptr, 10));
     }
-    std::cout
-        << "| load | policy | earned | gangs of large tasks | wide jobs | urgent jobs |\n|---|---|---|---|---|---|\n";
-    for (const replay_load &load : loads()) {
-        std::vector<std::future<std::string>> rows;
-        for (const named_policy &entry : policies()) {
-            rows.push_back(std::async(std::launch::async, makeRow, load, entry, seeds));
+    const bool overload = argc > 3 && std::string(argv[3]) == "overload";
+    std::cout << "| load | policy | earned | gangs of large tasks | wide jobs | urgent jobs |"
+              << (overload
+                      ? " largest gangs | served, of all | largest wide | served, of all | largest urgent | served, "
+                        "of all |"
+                      : "")
+              << "\n|---|---|---|---|---|---|" << (overload ? "---|---|---|---|---|---|" : "") << "\n";
+    const std::vector<replay_load> played =
+        overload ? std::vector{tailedUnevenLoad(), largeUnevenLoad(), grownPaguriLoad()} : loads();
+    for (const replay_load &load : played) {
+        std::deque<std::future<std::string>> rows;
+        for (const named_policy &entry : overload ? overloadPolicies() : policies()) {
+            if (rows.size() == parallelRows) {
+                std::cout << rows.front().get() << std::flush;
+                rows.pop_front();
+            }
+            rows.push_back(std::async(std::launch::async, makeRow, load, entry, seeds, overload));
         }
         for (std::future<std::string> &row : rows) {
             std::cout << row.get() << std::flush;
