Learn durations only from runs of which this term knows the whole duration

Change: runs are partial unless this term placed them without a checkpoint; the begin of a run is taken from a report only if no reply to its start was lost.

--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -51,7 +51,8 @@
     bool begun = false; ///< A reply or a report has shown that the worker has begun the run.
     std::optional<time_point>
         begunAt; ///< When the leader learned of it, in uptime; empty for a run of an earlier term.
-    bool resumed = false; ///< Started from a checkpoint, so its duration is not that of the whole task.
+    /// Started from a checkpoint or in an earlier term, so its duration in this term is not that of the whole task.
+    bool partial = true;
     unsigned openOrders = 0; ///< Calls about this run that are in progress.
     bool stopAccepted = false; ///< The worker has accepted a stop, so the run can no longer begin.
     /// A report of the worker's current incarnation has listed the run. Otherwise the run may belong to a later
--- a/packages/term/run_lifecycle.cpp
+++ b/packages/term/run_lifecycle.cpp
@@ -79,7 +79,7 @@
 void learnFromRun(
     cell_state &state, cell_job &job, cell_step &step, const placed_run &run, bool gang, const clock_reading &now)
 {
-    if (!run.begunAt || run.resumed) {
+    if (!run.begunAt || run.partial) {
         return;
     }
     const double took = std::chrono::duration<double, std::milli>(now.uptime - *run.begunAt).count();
@@ -244,6 +244,7 @@
     run_number highest;
     for (std::uint32_t position = first; position < first + count; ++position) {
         highest = std::max(highest, job.progress.tasks[position].run);
+    placed.partial = !task.checkpoint.empty();
     }
     return run_number(highest.value + 1);
 }
--- a/packages/term/worker_reports.cpp
+++ b/packages/term/worker_reports.cpp
@@ -141,9 +141,10 @@
             speeds.push_back({&run, *row.percent});
         }
         run.checkpoint = row.checkpoint.empty() ? run.checkpoint : row.checkpoint;
+        // Before the flag is reset, since after a lost reply the run may have begun long before this report.
+        markBegun(state, run, now);
         run.startUnknown = false;
         run.reported = true;
-        markBegun(state, run, now);
         run.state = run.state == run_state::Starting ? run_state::Running : run.state;
         table.erase(found);
     }
