Count the tasks of a step as one sample of the durations of its queue

Cause: all 25 tasks of a wide job counted as samples of their own, although their durations and estimates agree, so two jobs replaced all that was learned of a queue. One task of the tail set the expectation of its whole step. A lasting change by a factor of three was followed by half only after 60 samples. Change: the tasks of a step share the weight of one sample; a task counts in the mean of its step as at most twice as long or short as expected; deviations up to a factor of 2.5 count in full. Result: three cases of correctness/run_time_model fail before: after one wide job of 4 s tasks the queue's 1 s tasks were expected to take 2856 ms (now below 1200), a step of 3 s tasks with one of 21 s 4761 ms (now below 3800), and after a change from 1 to 3 s 1542 ms (now above 2400).

--- a/packages/term/run_lifecycle.cpp
+++ b/packages/term/run_lifecycle.cpp
@@ -94,7 +94,8 @@
     learnDuration(job.history->runTimes,
                   job.accepted.job.steps[number].estimate,
                   step.durations,
-                  milliseconds(static_cast<std::int64_t>(took * speed)));
+                  milliseconds(static_cast<std::int64_t>(took * speed)),
+                  gang ? 1 : step.count);
 }
 
 void recordDuration(const cell_job &job, const placed_run &run, const clock_reading &now)
--- a/packages/term/run_time_model.cpp
+++ b/packages/term/run_time_model.cpp
@@ -8,18 +8,24 @@
 
 namespace {
 
-/// Weight of the newest sample once there are many: a change of the work is followed within about 50 tasks.
-constexpr double leastWeight = 0.02;
+/// Weight of the newest sample once there are many: a change of the work is followed within about 50 steps.
+constexpr double leastWeight = 0.04;
 /// Deviation from the mean, in standard deviations, beyond which a sample counts as this far.
-constexpr double farthestDeviation = 2;
+constexpr double farthestDeviation = 3;
+/// Least deviation that counts as far: a factor of 2.5. After many equal samples the spread is small, and a lasting
+/// change by a factor of three was followed by half only after 60 samples.
+constexpr double leastFar = 0.92;
 /// Number of samples from which on the spread of the samples is known well enough to bound their deviations.
-constexpr std::uint64_t samplesForSpread = 10;
+constexpr double samplesForSpread = 10;
 /// Lower bound of a variance: no predictor is trusted to better than a tenth.
 constexpr double leastVariance = 0.01;
 /// Variance of a predictor before its spread is known: a factor of two.
 constexpr double unknownVariance = 0.48;
-/// Factor by which the weights of the ratios decay with each sample.
-constexpr float ratioDecay = 0.99F;
+/// Factor from the expected duration beyond which a task counts as this far in the mean of its step: a task of a tail
+/// says little about the others.
+constexpr double farthestInStep = 2;
+/// Factor by which the weights of the ratios decay with each step.
+constexpr double ratioDecay = 0.99;
 constexpr double classesPerOctave = 4;
 constexpr double middleClass = (ratioClasses - 1) / 2.0;
 
@@ -73,21 +79,21 @@
 
 } // namespace
 
-void addSample(log_statistics &statistics, double logSample)
+void addSample(log_statistics &statistics, double logSample, double weight)
 {
-    ++statistics.samples;
-    if (statistics.samples == 1) {
+    statistics.samples += weight;
+    const double share = weight * std::max(1 / statistics.samples, leastWeight);
+    if (statistics.samples <= weight) {
         statistics.mean = logSample;
         return;
     }
-    const double weight = std::max(1 / static_cast<double>(statistics.samples), leastWeight);
     double deviation = logSample - statistics.mean;
     if (statistics.samples > samplesForSpread) {
-        const double bound = farthestDeviation * std::sqrt(std::max(statistics.variance, leastVariance));
+        const double bound = std::max(farthestDeviation * std::sqrt(statistics.variance), leastFar);
         deviation = std::clamp(deviation, -bound, bound);
     }
-    statistics.mean += weight * deviation;
-    statistics.variance += weight * (deviation * deviation - statistics.variance);
+    statistics.mean += share * deviation;
+    statistics.variance += share * (deviation * deviation - statistics.variance);
 }
 
 milliseconds predictDuration(const run_time_model &model, milliseconds estimate, const step_durations &step)
@@ -95,6 +101,11 @@
     return milliseconds(static_cast<std::int64_t>(std::round(std::exp(predictLog(model, estimate, step)))));
 }
 
+bool isKnown(const run_time_model &model)
+{
+    return model.durations.samples >= samplesForSpread;
+}
+
 milliseconds durationQuantile(const run_time_model &model, milliseconds expected, double quantile)
 {
     const double total = std::accumulate(model.ratios.begin(), model.ratios.end(), 0.0);
@@ -111,21 +122,26 @@
     return milliseconds(static_cast<std::int64_t>(ratio * static_cast<double>(expected.count())));
 }
 
-void learnDuration(run_time_model &model, milliseconds estimate, step_durations &step, milliseconds took)
+void learnDuration(
+    run_time_model &model, milliseconds estimate, step_durations &step, milliseconds took, std::uint32_t stepRuns)
 {
     const double logTook = logOf(took);
-    for (float &weight : model.ratios) {
-        weight *= ratioDecay;
+    const double logExpected = predictLog(model, estimate, step);
+    const double weight = 1 / static_cast<double>(std::max<std::uint32_t>(stepRuns, 1));
+    const auto decay = static_cast<float>(std::pow(ratioDecay, weight));
+    for (float &ratioWeight : model.ratios) {
+        ratioWeight *= decay;
     }
-    model.ratios[classOf(logTook - predictLog(model, estimate, step))] += 1;
+    model.ratios[classOf(logTook - logExpected)] += static_cast<float>(weight);
     if (step.count > 0) {
-        addSample(model.withinStep, logTook - step.logSum / step.count);
+        addSample(model.withinStep, logTook - step.logSum / step.count, 1);
     }
-    addSample(model.durations, logTook);
+    addSample(model.durations, logTook, weight);
     if (estimate.count() > 0) {
-        addSample(model.corrections, logTook - logOf(estimate));
+        addSample(model.corrections, logTook - logOf(estimate), weight);
     }
-    step.logSum += logTook;
+    const double bound = std::log(farthestInStep);
+    step.logSum += isKnown(model) ? std::clamp(logTook, logExpected - bound, logExpected + bound) : logTook;
     ++step.count;
 }
 
--- a/packages/term/run_time_model.h
+++ b/packages/term/run_time_model.h
@@ -13,11 +13,11 @@
 struct log_statistics {
     double mean = 0;
     double variance = 0;
-    std::uint64_t samples = 0;
+    double samples = 0; ///< Sum of the weights of all samples.
 };
 
-/// Adds the logarithm of a sample.
-void addSample(log_statistics &statistics, double logSample);
+/// Adds the logarithm of a sample. `weight` is its share of an independent sample, in (0, 1].
+void addSample(log_statistics &statistics, double logSample, double weight);
 
 /// Number of classes of the ratio of the actual to the predicted duration, each a factor of 2^(1/4) wide.
 constexpr std::size_t ratioClasses = 33;
@@ -44,10 +44,15 @@
 /// estimate.
 milliseconds predictDuration(const run_time_model &model, milliseconds estimate, const step_durations &step);
 
+/// True if enough steps of the queue have ended to tell how well each predictor does.
+bool isKnown(const run_time_model &model);
+
 /// Duration that a share `quantile` of the tasks with that expected duration does not exceed.
 milliseconds durationQuantile(const run_time_model &model, milliseconds expected, double quantile);
 
-/// Learns from a task that has taken `took` on a worker of mean speed, and adds it to its step.
-void learnDuration(run_time_model &model, milliseconds estimate, step_durations &step, milliseconds took);
+/// Learns from a task that has taken `took` on a worker of mean speed, and adds it to its step. The step has `stepRuns`
+/// runs, which all together count as one sample of the queue, since their durations and their estimate agree.
+void learnDuration(
+    run_time_model &model, milliseconds estimate, step_durations &step, milliseconds took, std::uint32_t stepRuns);
 
 } // namespace sesamespar
