Compute once for a step which speeds it prefers

Cause: speedRank computed the expected duration of the step for each candidate, and an exponential and a logarithm of the worker's speed. Change: speedPreference is computed once for a step; a worker is ranked by its logarithm.

--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -125,6 +125,8 @@
     if (!fits(declared.need, pass.free.largest)) {
         return candidates;
     }
+    const speed_preference preference =
+        pass.state.policy.matchesSpeeds ? speedPreference(pass.state, waiting, pass.now.utc) : speed_preference();
     const auto consider = [&](worker_slot slot, ticket_state ticket, time_point validUntil) {
         const resources &remaining = pass.free.remaining[slot.value];
         if (!contains(pass.free.usable, slot) || !fits(declared.need, remaining)) {
@@ -133,14 +135,13 @@
         cell_worker &worker = *pass.state.slots[slot.value];
         const std::int64_t fit = isEligible(waiting, worker) ? countTaskFits(waiting, worker, remaining) : 0;
         if (fit > 0) {
-            candidates.push_back(
-                {&worker,
-                 fit,
-                 ticket,
-                 validUntil,
-                 !declared.dataRack.empty() && worker.rack != declared.dataRack,
-                 pass.state.policy.matchesSpeeds ? speedRank(pass.state, waiting, worker, pass.now.utc) : 0,
-                 pass.state.policy.failedTasksElsewhere && hasFailedOn(waiting, worker.id)});
+            candidates.push_back({&worker,
+                                  fit,
+                                  ticket,
+                                  validUntil,
+                                  !declared.dataRack.empty() && worker.rack != declared.dataRack,
+                                  pass.state.policy.matchesSpeeds ? speedRank(preference, worker) : 0,
+                                  pass.state.policy.failedTasksElsewhere && hasFailedOn(waiting, worker.id)});
         }
     };
     if (waiting.job->accepted.policy.advice) {
--- a/packages/term/sustained_speed.cpp
+++ b/packages/term/sustained_speed.cpp
@@ -32,12 +32,17 @@
 /// Width of a class of speeds, within which the order of free capacity decides.
 constexpr double speedClass = 1.25;
 
-int classOf(double speed)
+int classOf(double logSpeed)
 {
-    return static_cast<int>(std::lround(std::log(speed) / std::log(speedClass)));
+    return static_cast<int>(std::lround(logSpeed / std::log(speedClass)));
 }
 
 } // namespace
+/// Lower bounds of the speed and of the class that a step may need.
+constexpr double leastNeeded = 0.01;
+constexpr int slowestClass = -20;
+/// Added to the rank of a worker that is too slow.
+constexpr int tooSlow = 100;
 
 double sustainedSpeed(const cell_worker &worker)
 {
@@ -82,21 +87,26 @@
     state.unevenWorkers = uneven;
 }
 
-int speedRank(const cell_state &state, const waiting_step &waiting, const cell_worker &worker, utc_time now)
+speed_preference speedPreference(const cell_state &state, const waiting_step &waiting, utc_time now)
 {
-    const auto expected = static_cast<double>(expectedDuration(state, *waiting.job, waiting.step).count());
-    const double timeLeft = static_cast<double>(waiting.forecast.latestStart.value - now.value) + expected;
-    const int speed = classOf(sustainedSpeed(worker));
+    speed_preference preference;
+    preference.leastClass = slowestClass;
     if (isDeferrable(waiting)) {
-        return speed;
+        return preference;
     }
     const double needed = timeMargin * expected / std::max(timeLeft, 1.0);
-    if (needed >= 1) {
+    preference.fastestFirst = needed >= 1;
+    preference.leastClass = std::max(slowestClass, classOf(std::log(std::max(needed, leastNeeded))));
+    return preference;
+}
+
+int speedRank(const speed_preference &preference, const cell_worker &worker)
+{
+    const int speed = classOf(worker.logSpeed);
+    if (preference.fastestFirst) {
         return -speed;
     }
-    constexpr int tooSlow = 100;
-    const int neededClass = classOf(std::max(needed, 0.01));
-    return speed >= neededClass ? speed : tooSlow - speed;
+    return speed >= preference.leastClass ? speed : tooSlow - speed;
 }
 
 } // namespace sesamespar
--- a/packages/term/sustained_speed.h
+++ b/packages/term/sustained_speed.h
@@ -16,9 +16,18 @@
 /// a factor of two or more.
 void assessUnevenness(cell_state &state);
 
-/// Ranks a worker for a step by its speed; a smaller rank is preferred. Addresses uneven workers, on some of which a
-/// job with little slack is late from its start. Jobs with little slack prefer fast workers. Jobs with much slack
-/// prefer the slowest workers that are fast enough, so that the fast ones stay free.
-int speedRank(const cell_state &state, const waiting_step &waiting, const cell_worker &worker, utc_time now);
+/// Which workers a step prefers, by their class of speed.
+struct speed_preference {
+    int leastClass = 0; ///< Classes below are too slow.
+    bool fastestFirst = false; ///< Otherwise the slowest worker that is fast enough is the best.
+};
+
+/// Preference of a step. Addresses uneven workers, on some of which a job with little slack is late from its start.
+/// Jobs with little slack prefer fast workers. Jobs with much slack prefer the slowest workers that are fast enough, so
+/// that the fast ones stay free.
+speed_preference speedPreference(const cell_state &state, const waiting_step &waiting, utc_time now);
+
+/// Ranks a worker by its speed; a smaller rank is preferred.
+int speedRank(const speed_preference &preference, const cell_worker &worker);
 
 } // namespace sesamespar
