Log the expected duration of a task with its placement

Cause: run_ended says how long a run took, but no line said how long the leader had expected it to take. Change: the line 'placed' has expected_ms.

--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -282,7 +282,8 @@
     return text;
 }
 
-void logPlacement(const waiting_step &waiting,
+void logPlacement(const cell_state &state,
+                  const waiting_step &waiting,
                   const std::map<worker_id, std::size_t> &places,
                   std::size_t placed,
                   std::size_t wanted,
@@ -294,6 +295,7 @@
         .with("step", waiting.step)
         .with("tasks", placed)
         .with("waiting", wanted - placed)
+        .with("expected_ms", expectedDuration(state, *waiting.job, waiting.step).count())
         .with("slack_ms", waiting.forecast.latestStart.value - now.utc.value)
         .with("prospect", static_cast<int>(waiting.forecast.prospect))
         .with("workers", describeWorkers(places));
@@ -324,7 +326,7 @@
         ++placed;
     }
     if (placed > 0) {
-        logPlacement(waiting, taken, placed, tasks.size(), pass.now);
+        logPlacement(pass.state, waiting, taken, placed, tasks.size(), pass.now);
     }
     return placed;
 }
