--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -51,7 +51,8 @@
     bool begun = false; ///< A reply or a report has shown that the worker has begun the run.
     std::optional<time_point>
         begunAt; ///< When the leader learned of it, in uptime; empty for a run of an earlier term.
-    bool resumed = false; ///< Started from a checkpoint, so its duration is not that of the whole task.
+    /// Started from a checkpoint or in an earlier term, so its duration in this term is not that of the whole task.
+    bool partial = true;
     unsigned openOrders = 0; ///< Calls about this run that are in progress.
     bool stopAccepted = false; ///< The worker has accepted a stop, so the run can no longer begin.
     /// A report of the worker's current incarnation has listed the run. Otherwise the run may belong to a later
@@ -95,7 +96,7 @@
     worker_record record;
     double speed = 1; ///< Moving mean of the speeds of its runs; see worker_speed.h.
     double logSpeed = 0; ///< Logarithm of its sustained speed relative to the cell's mean; see sustained_speed.h.
-    std::uint32_t speedSamples = 0;
+    double speedSamples = 0; ///< Number of runs that were measured.
 
     unsigned orphanRuns = 0; ///< Reported runs that this term did not place on the worker.
     std::optional<milliseconds> clock; ///< The last reading of its clock.
@@ -202,6 +203,7 @@
     std::map<organisation_id, organisation_usage> organisations;
     waiting_list waiting; ///< Contains every job with waiting tasks, and others until the next placement pass.
     double meanLogSpeed = 0; ///< Moving mean of the logarithms of all measured speeds; see sustained_speed.h.
+    double speedSamples = 0; ///< Number of runs that were measured.
     bool unevenWorkers = false; ///< The sustained speeds of the workers differ by a factor of two or more.
     double meanSpeed = 1; ///< Moving mean over all workers; corrects estimates that are off in one direction.
     double startDelayMs = 0; ///< Moving mean of the time from the placement of a run to its start.
