Derive Retry-After from the age of an outage of the store

Cause: jobs refused while the store is down got a constant Retry-After of 2 s, so that the retries of a caller that returns early ended before an outage of 9 s. A job that waited in the intake when the store was lost was sent in a new transaction while the probe was in progress, and answered as unknown; so was a job whose relay message the link had dropped, and any submission whose handling an unexpected error ended. A job that no transaction has contained waits for the result of a probe in progress. sendToPeer tells whether a message was dropped; known silent links are not used for relays; answerAfterError refuses a submission that no part of the daemon has taken over.

--- a/packages/connection/cell_context.h
+++ b/packages/connection/cell_context.h
@@ -46,8 +46,9 @@
     advice_port advice;
     discovery_port discovery;
     configuration_port configuration;
-    /// Sends a message to another daemon. The message is lost if that daemon is unreachable.
-    std::function<void(const address &to, const daemon_message &)> sendToPeer;
+    /// Sends a message to another daemon. The message is lost if that daemon is unreachable. Returns false if it was
+    /// dropped before it left the process, and so can never arrive.
+    std::function<bool(const address &to, const daemon_message &)> sendToPeer;
     /// Loads the payload of a job that is stored apart from it; see payload_cache.
     std::function<void(const job_key &, const address &source, payload_callback, const clock_reading &)> loadPayload;
     mailbox box;
--- a/packages/process/cell_requests.cpp
+++ b/packages/process/cell_requests.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-/// Retry-After of requests that arrive before the first configuration was read.
+/// Retry-After of requests that arrive before the first configuration was read, or that could not be handled.
 constexpr milliseconds startRetryAfter{1000};
 
 /// Retry-After of jobs that exceed the limit of their organisation; only a new configuration can change that.
@@ -50,11 +50,18 @@
     };
 }
 
-void refuseWithoutStore(const cell_daemon &daemon, const job_key &key, const caller_done &done)
+void refuseWithoutStore(const cell_daemon &daemon,
+                        const job_key &key,
+                        const caller_done &done,
+                        const clock_reading &now)
 {
+    const milliseconds retryAfter = retryAfterOutage(*daemon.intake, key, now.uptime, now);
     addCount(*daemon.context.counters, cell_metrics::storeLostRefusals);
-    log_event("store_lost_refusal").with("job", key);
-    done(call_refused{"the store cannot be reached", storeRetryAfter});
+    log_event("store_lost_refusal")
+        .with("job", key)
+        .with("down_ms", std::chrono::duration_cast<milliseconds>(now.uptime - daemon.intake->lostSince).count())
+        .with("retry_after_ms", retryAfter.count());
+    done(call_refused{"the store cannot be reached", retryAfter});
 }
 
 void submitJob(cell_daemon &daemon,
@@ -98,10 +105,11 @@
     accepted_job job{key, call.job, queue.policy, now.utc, organisation};
     if (!daemon.intake->storeLost) {
         enqueueJob(*daemon.intake, std::move(job), request.timeout, countWhileOpen(daemon, std::move(done)), now);
-    } else if (canRelay(*daemon.relay, now)) {
-        relayJob(daemon.relay, job, request.timeout, countWhileOpen(daemon, std::move(done)), now);
+    } else if (canRelay(*daemon.relay, daemon.unreachablePeers, now)) {
+        const milliseconds retryAfter = retryAfterOutage(*daemon.intake, key, now.uptime, now);
+        relayJob(daemon.relay, job, request.timeout, retryAfter, countWhileOpen(daemon, std::move(done)), now);
     } else {
-        refuseWithoutStore(daemon, key, done);
+        refuseWithoutStore(daemon, key, done, now);
     }
 }
 
@@ -310,17 +318,35 @@
     } else if (const auto *submit = std::get_if<submit_call>(&request.call)) {
         submitJob(daemon, request, *submit, *queue, *organisation, key, std::move(done), now);
     } else if (daemon.intake->storeLost) {
-        refuseWithoutStore(daemon, key, done);
+        refuseWithoutStore(daemon, key, done, now);
     } else {
         requestCancel(daemon.context, key, request.timeout, countWhileOpen(daemon, std::move(done)), now);
     }
 }
 
+caller_answer answerAfterError(const cell_daemon &daemon, const caller_request &request)
+{
+    const auto isOfRequest = [&request](const job_key &key) {
+        return request.path.ends_with(key.value);
+    };
+    const auto &queued = daemon.intake->waiting;
+    const auto &relayed = daemon.relay->open;
+    // A transaction is sent only after the batch of events, so a job of this request that is not queued is in none.
+    const bool takenOver =
+        std::any_of(queued.begin(), queued.end(), [&](const auto &job) { return isOfRequest(job.job.key); })
+        || std::any_of(
+            relayed.begin(), relayed.end(), [&](const auto &entry) { return isOfRequest(entry.second.key); });
+    if (std::holds_alternative<submit_call>(request.call) && !takenOver) {
+        return call_refused{"the request could not be handled", startRetryAfter};
+    }
+    return outcome_unknown{"the handling of the request ended with an error"};
+}
+
 void readStatus(
     cell_daemon &daemon, const job_key &key, milliseconds timeout, caller_done done, const clock_reading &now)
 {
     if (daemon.intake->storeLost) {
-        refuseWithoutStore(daemon, key, done);
+        refuseWithoutStore(daemon, key, done, now);
     } else {
         queryJob(daemon.context, key, timeout, std::move(done), now);
     }
--- a/packages/process/cell_requests.h
+++ b/packages/process/cell_requests.h
@@ -12,6 +12,10 @@
 /// Handles a request of a caller. `done` is called exactly once, before or after the return.
 void handleCallerRequest(cell_daemon &daemon, caller_request request, caller_done done, const clock_reading &now);
 
+/// Answer to a request whose handling an unexpected error has ended. A submission is refused if no part of the daemon
+/// has taken the job over, so that it can neither be stored nor relayed; any other outcome is unknown.
+caller_answer answerAfterError(const cell_daemon &daemon, const caller_request &request);
+
 /// Reads the state of a job from the store, or refuses the request at once while the store is lost.
 void readStatus(
     cell_daemon &daemon, const job_key &key, milliseconds timeout, caller_done done, const clock_reading &now);
--- a/packages/process/job_intake.cpp
+++ b/packages/process/job_intake.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "connection/cell_codec.h"
 #include "connection/cell_keys.h"
+#include "request/outage_backoff.h"
 
 #include <algorithm>
 
@@ -49,7 +50,8 @@
     if (job.mayBeStored) {
         answer(intake, job, outcome_unknown{"the store did not answer"}, "unknown", cell_metrics::jobsUnknown, now);
     } else {
-        const call_refused refusal{"the store cannot be reached", storeRetryAfter};
+        const call_refused refusal{"the store cannot be reached",
+                                   retryAfterOutage(intake, job.job.key, job.arrivedAt, now)};
         answer(intake, job, refusal, "refused", cell_metrics::jobsRefused, now);
     }
 }
@@ -64,6 +66,8 @@
     const bool lost = !probeResult;
     if (lost != intake->storeLost) {
         intake->storeLost = lost;
+        // The probe was sent at most its time limit ago.
+        intake->lostSince = now.uptime - probeLimit;
         log_event(lost ? "intake_store_lost" : "intake_store_regained", log_level::Warning)
             .with("waiting", intake->waiting.size())
             .with("problem", lost ? probeResult.error().message : "");
@@ -94,6 +98,12 @@
                                                     }));
 }
 
+/// True if the next transaction may contain the job. Before its first one a job waits for the result of a probe.
+bool mayBeSent(const job_intake &intake, const incoming_job &job)
+{
+    return job.mayBeStored || !intake.probing;
+}
+
 bool isStored(const std::vector<store_item> &current, const job_key &key)
 {
     return std::any_of(current.begin(), current.end(), [&key](const store_item &item) {
@@ -177,6 +187,9 @@
     std::size_t entries = 0;
     for (auto next = intake.waiting.begin(); next != intake.waiting.end();) {
         const auto job = next++;
+        if (!mayBeSent(intake, *job)) {
+            continue;
+        }
         entries += job->job.payloadHolder ? 4 : 3;
         if (entries > maxEntries) {
             break;
@@ -230,6 +243,13 @@
     intake.waiting.push_back(std::move(incoming));
 }
 
+milliseconds
+retryAfterOutage(const job_intake &intake, const job_key &key, time_point failingSince, const clock_reading &now)
+{
+    const time_point since = intake.storeLost ? std::min(intake.lostSince, failingSince) : failingSince;
+    return outageRetryAfter(std::chrono::duration_cast<milliseconds>(now.uptime - since), key);
+}
+
 void suspectStore(const std::shared_ptr<job_intake> &intake)
 {
     if (!intake->storeLost) {
@@ -240,7 +260,12 @@
 void settleIntake(const std::shared_ptr<job_intake> &intake, const clock_reading &now)
 {
     expire(*intake, now);
-    while (!intake->waiting.empty() && intake->openCommits < maxOpenCommits && now.uptime >= intake->commitAfter) {
+    const auto anyToSend = [&intake] {
+        return std::any_of(intake->waiting.begin(), intake->waiting.end(), [&intake](const incoming_job &job) {
+            return mayBeSent(*intake, job);
+        });
+    };
+    while (intake->openCommits < maxOpenCommits && now.uptime >= intake->commitAfter && anyToSend()) {
         sendBatch(intake);
     }
     if (!intake->waiting.empty() && !intake->retryTimer.is_linked()) {
--- a/packages/process/job_intake.h
+++ b/packages/process/job_intake.h
@@ -11,10 +11,6 @@
 
 namespace sesamespar {
 
-/// Retry-After of requests that are refused because the store cannot be reached. Outages last 4 to 9 s and callers
-/// retry four times, so that with 1 s their retries are used up before the store is back.
-constexpr milliseconds storeRetryAfter{2000};
-
 /// A submitted job that is not stored yet.
 struct incoming_job {
     accepted_job job;
@@ -44,12 +40,19 @@
     time_point commitAfter; ///< In uptime; no transaction is sent before, set after a failed one.
 
     bool storeLost = false; ///< The last probe of the store failed.
+    time_point lostSince; ///< In uptime, estimated. Valid while `storeLost`.
     bool probing = false;
     timer probeTimer;
 };
 
+/// Retry-After of a request about the job that is refused now because the store cannot be reached. `failingSince` is
+/// when the request first failed to reach it, in uptime; an outage that the intake knows of may have begun earlier.
+milliseconds
+retryAfterOutage(const job_intake &intake, const job_key &key, time_point failingSince, const clock_reading &now);
+
 /// Queues a job. It is stored with other jobs of the same batch of events, or refused at the end of the batch while the
-/// store is lost.
+/// store is lost. While a probe of the store is in progress, a job that no transaction has contained yet waits for its
+/// result, so that it can be refused if the store is lost.
 void enqueueJob(job_intake &intake, accepted_job job, milliseconds timeout, caller_done done, const clock_reading &now);
 
 /// Probes the store after a call of another part got no answer. If the probe fails, jobs are refused at once until a
--- a/packages/process/job_queries.cpp
+++ b/packages/process/job_queries.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "connection/cell_codec.h"
 #include "connection/cell_keys.h"
+#include "request/outage_backoff.h"
 
 #include <algorithm>
 #include <memory>
@@ -13,7 +14,8 @@
 
 /// Time limit of one call to the store. A lost call is repeated while the caller's time limit allows it.
 constexpr milliseconds callLimit{600};
-constexpr milliseconds retryAfter{500};
+/// Retry-After of a query that an overloaded store refused.
+constexpr milliseconds overloadRetryAfter{500};
 
 /// A status query or a cancellation of a caller in progress.
 struct job_query {
@@ -27,6 +29,7 @@
     cell_context &context;
     job_key key;
     caller_done done;
+    time_point arrivedAt; ///< In uptime.
     time_point answerBy; ///< In uptime.
     bool cancelling = false;
     bool mayBeCancelled = false; ///< The outcome of a write of the cancellation is unknown.
@@ -39,6 +42,7 @@
 makeQuery(cell_context &context, const job_key &key, milliseconds timeout, caller_done done, const clock_reading &now)
 {
     auto query = std::make_shared<job_query>(context, key, std::move(done));
+    query->arrivedAt = now.uptime;
     query->answerBy = now.uptime + timeToAnswer(timeout);
     return query;
 }
@@ -49,13 +53,16 @@
     query.done(answer);
 }
 
-void answerFailed(const job_query &query, const error &fault)
+void answerFailed(const job_query &query, const error &fault, const clock_reading &now)
 {
     if (query.mayBeCancelled) {
         finish(query, outcome_unknown{fault.message}, "unknown");
-    } else {
-        finish(query, call_refused{fault.message, retryAfter}, "refused");
+        return;
     }
+    const auto failingFor = std::chrono::duration_cast<milliseconds>(now.uptime - query.arrivedAt);
+    const milliseconds retryAfter =
+        fault.kind == error_kind::Overloaded ? overloadRetryAfter : outageRetryAfter(failingFor, query.key);
+    finish(query, call_refused{fault.message, retryAfter}, "refused");
 }
 
 using query_step = void (*)(const query_ptr &query);
@@ -65,7 +72,7 @@
 {
     if (now.uptime + callLimit / 2 >= query->answerBy || fault.kind == error_kind::Unreachable
         || fault.kind == error_kind::Overloaded) {
-        answerFailed(*query, fault);
+        answerFailed(*query, fault, now);
     } else {
         step(query);
     }
--- a/packages/process/job_relay.cpp
+++ b/packages/process/job_relay.cpp
@@ -2,7 +2,6 @@
 
 #include "base/log.h"
 #include "connection/cell_codec.h"
-#include "process/job_intake.h"
 
 #include <algorithm>
 #include <vector>
@@ -36,6 +35,11 @@
     job.done(answer);
 }
 
+void finishRefused(const job_relay &relay, const open_relay &job, const char *reason, const clock_reading &now)
+{
+    finish(relay, job, call_refused{reason, job.retryAfter}, "refused", cell_metrics::jobsRefused, now);
+}
+
 std::vector<address> otherDaemons(const job_relay &relay, const std::map<daemon_id, address> &daemons)
 {
     std::vector<address> others;
@@ -115,24 +119,32 @@
     relay.offeredAt = now.uptime;
 }
 
-bool canRelay(const job_relay &relay, const clock_reading &now)
+bool canRelay(const job_relay &relay, const std::set<address> &unreachablePeers, const clock_reading &now)
 {
-    return relay.relayPeer && now.uptime - relay.offeredAt < offerValidity;
+    return relay.relayPeer && now.uptime - relay.offeredAt < offerValidity
+        && !unreachablePeers.contains(*relay.relayPeer);
 }
 
 void relayJob(const std::shared_ptr<job_relay> &relay,
               const accepted_job &job,
               milliseconds timeout,
+              milliseconds retryAfter,
               caller_done done,
               const clock_reading &now)
 {
     const milliseconds limit = std::min(relayLimit, timeToAnswer(timeout));
     const correlation_id correlation = newCorrelation(relay->context);
-    relay->open.emplace(correlation, open_relay{job.key, std::move(done), now.uptime, now.uptime + limit});
-    addCount(*relay->context.counters, cell_metrics::jobsRelayed);
-    relay->context.sendToPeer(
+    open_relay entry{job.key, std::move(done), now.uptime, now.uptime + limit, retryAfter};
+    const bool sent = relay->context.sendToPeer(
         *relay->relayPeer,
         relayed_job{correlation, relay->context.settings.peerAddress, limit, job.key, encodeAcceptedJob(job)});
+    if (!sent) {
+        relay->relayPeer.reset();
+        finishRefused(*relay, entry, "the link to the daemon that the job was to be relayed to is full or closed", now);
+        return;
+    }
+    relay->open.emplace(correlation, std::move(entry));
+    addCount(*relay->context.counters, cell_metrics::jobsRelayed);
     scheduleExpiry(relay, now);
 }
 
@@ -150,12 +162,7 @@
         break;
     case relay_result::Refused:
         relay.relayPeer.reset();
-        finish(relay,
-               job,
-               call_refused{"the daemon that the job was relayed to refused to store it", storeRetryAfter},
-               "refused",
-               cell_metrics::jobsRefused,
-               now);
+        finishRefused(relay, job, "the daemon that the job was relayed to refused to store it", now);
         break;
     case relay_result::Unknown:
         finish(relay,
--- a/packages/process/job_relay.h
+++ b/packages/process/job_relay.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace sesamespar {
 
@@ -19,6 +20,7 @@
     caller_done done;
     time_point arrivedAt; ///< In uptime.
     time_point dueAt; ///< In uptime; from then on the outcome counts as unknown.
+    milliseconds retryAfter{0}; ///< If the other daemon refuses the job.
 };
 
 /// State of the job relay of a daemon.
@@ -49,13 +51,16 @@
 /// Handles the reply to a probe.
 void onRelayOffer(job_relay &relay, const relay_offer &offer, const clock_reading &now);
 
-/// True if the last offer is recent enough to relay jobs to its sender.
-bool canRelay(const job_relay &relay, const clock_reading &now);
+/// True if the last offer is recent enough to relay jobs to its sender, whose link passes data. `unreachablePeers` are
+/// the addresses whose links pass nothing.
+bool canRelay(const job_relay &relay, const std::set<address> &unreachablePeers, const clock_reading &now);
 
-/// Sends a job to the daemon of the last offer; canRelay() must hold. Without a reply in time the outcome is unknown.
+/// Sends a job to the daemon of the last offer; canRelay() must hold. Without a reply in time the outcome is unknown. A
+/// job that did not leave the process, or that the other daemon refuses, is refused with `retryAfter`.
 void relayJob(const std::shared_ptr<job_relay> &relay,
               const accepted_job &job,
               milliseconds timeout,
+              milliseconds retryAfter,
               caller_done done,
               const clock_reading &now);
 
--- a/test/error/worker_executors.cpp
+++ b/test/error/worker_executors.cpp
@@ -113,6 +113,7 @@
         };
         context.sendToPeer = [this](const address &, const daemon_message &message) {
             answers.push_back(std::get<worker_outcome_batch>(message));
+            return true;
         };
         executor = std::make_shared<worker_executor>(context);
     }
