Refuse jobs under overload that the work ahead makes hopeless

Cause: in a full cell, jobs that could only be completed later than three times their objective were accepted, and their work delayed later jobs. Change: under the policy for overload the leader publishes the waiting work of each full pool by priority and size class with the load of the queues; front ends refuse a job with 429 if the work ahead makes it miss three times its objective by a margin. Retry-After is when that work is done, in a slot of the job's key; in its slot a job is refused only by a larger margin, since callers that return would otherwise be refused again. A job that is stored already is accepted. A load counts for 3 s after it was received. Without the policy the published value is as before.

--- a/packages/connection/cell_codec.cpp
+++ b/packages/connection/cell_codec.cpp
@@ -3,6 +3,8 @@
 #include "connection/json_reader.h"
 #include "connection/json_writer.h"
 
+#include <algorithm>
+
 namespace sesamespar {
 
 namespace {
@@ -269,17 +271,96 @@
     return phaseOf(*object);
 }
 
+namespace {
+
+/// Member of the load with the backlogs of the pools. No queue has an empty name.
+constexpr const char *poolsMember = "";
+
+void writePools(json_writer &writer, const std::map<service_id, pool_backlog> &pools)
+{
+    writer.StartObject();
+    for (const auto &[service, pool] : pools) {
+        writer.Key(service.value.c_str());
+        writer.StartArray();
+        writer.Int64(pool.processors.value);
+        for (const backlog_row &row : pool.rows) {
+            writer.Int(row.priority);
+            writer.Uint(row.sizeClass);
+            writer.Int64(row.inTime);
+            writer.Int64(row.late);
+        }
+        writer.EndArray();
+    }
+    writer.EndObject();
+}
+
+bool readQueueLoad(const rapidjson::Value &row, queue_load &queue)
+{
+    constexpr rapidjson::SizeType fields = 3;
+    if (!row.IsArray() || row.Size() < fields || row.Size() > fields + 1 || !row[0].IsUint64() || !row[1].IsBool()
+        || !row[2].IsInt64() || (row.Size() > fields && !row[3].IsUint())) {
+        return false;
+    }
+    queue.pending = row[0].GetUint64();
+    queue.refusing = row[1].GetBool();
+    queue.retryAfter = milliseconds(row[2].GetInt64());
+    queue.durationPercent = row.Size() > fields ? row[3].GetUint() : 0;
+    return true;
+}
+
+bool readPool(const rapidjson::Value &list, pool_backlog &pool)
+{
+    constexpr rapidjson::SizeType fields = 4;
+    // Sums of all rows stay far from overflow: 10^15 core-milliseconds are 30 years of 1,000 cores.
+    constexpr std::int64_t largest = 1000000000000000;
+    const auto isAmount = [](const rapidjson::Value &field) {
+        return field.IsInt64() && field.GetInt64() >= 0 && field.GetInt64() <= largest;
+    };
+    if (!list.IsArray() || list.Size() % fields != 1 || !std::all_of(list.Begin(), list.End(), isAmount)) {
+        return false;
+    }
+    pool.processors.value = list[0].GetInt64();
+    for (rapidjson::SizeType at = 1; at < list.Size(); at += fields) {
+        if (!list[at].IsInt() || !list[at + 1].IsUint()) {
+            return false;
+        }
+        pool.rows.push_back(
+            {list[at].GetInt(), list[at + 1].GetUint(), list[at + 2].GetInt64(), list[at + 3].GetInt64()});
+    }
+    return true;
+}
+
+bool readPools(const rapidjson::Value &pools, cell_load &load)
+{
+    if (!pools.IsObject()) {
+        return false;
+    }
+    const auto members = pools.GetObject();
+    return std::all_of(members.begin(), members.end(), [&load](const auto &member) {
+        return readPool(member.value, load.pools[service_id(member.name.GetString())]);
+    });
+}
+
+} // namespace
+
 std::string encodeLoad(const cell_load &load)
 {
     rapidjson::StringBuffer buffer;
     json_writer writer(buffer);
     writer.StartObject();
+    if (!load.pools.empty()) {
+        writer.Key(poolsMember);
+        writePools(writer, load.pools);
+    }
     for (const auto &[queue, state] : load.queues) {
         writer.Key(queue.value.c_str());
         writer.StartArray();
         writer.Uint64(state.pending);
         writer.Bool(state.refusing);
         writer.Int64(state.retryAfter.count());
+        if (state.durationPercent > 0) {
+            writer.Uint(state.durationPercent);
+        }
         writer.EndArray();
     }
     writer.EndObject();
@@ -295,15 +376,14 @@
     }
     cell_load load;
     for (const auto &member : object->members()) {
-        constexpr rapidjson::SizeType fields = 3;
-        const rapidjson::Value &row = member.value;
-        if (!row.IsArray() || row.Size() != fields || !row[0].IsUint64() || !row[1].IsBool() || !row[2].IsInt64()) {
-            return makeError(error_kind::InvalidInput, "cell load has a malformed row for a queue");
+        const bool isPools = member.name == poolsMember;
+        const bool valid = isPools ? readPools(member.value, load)
+                                   : readQueueLoad(member.value, load.queues[queue_id(member.name.GetString())]);
+        if (!valid) {
+            return makeError(error_kind::InvalidInput,
+                             isPools ? "cell load has a malformed backlog of a pool"
+                                     : "cell load has a malformed row for a queue");
         }
-        queue_load &queue = load.queues[queue_id(member.name.GetString())];
-        queue.pending = row[0].GetUint64();
-        queue.refusing = row[1].GetBool();
-        queue.retryAfter = milliseconds(row[2].GetInt64());
     }
     return load;
 }
--- a/packages/connection/cell_metrics.h
+++ b/packages/connection/cell_metrics.h
@@ -14,6 +14,7 @@
 constexpr std::string_view keysRejected = "requests_with_rejected_key";
 constexpr std::string_view noQueue = "requests_without_queue";
 constexpr std::string_view storeLostRefusals = "store_lost_refusals";
+constexpr std::string_view loadRefusals = "load_refusals";
 constexpr std::string_view jobsRelayed = "jobs_relayed";
 constexpr std::string_view statusQuestions = "status_questions";
 constexpr std::string_view statusOverdue = "status_questions_overdue";
--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -108,6 +108,7 @@
     } else if (item.key == cell_keys::load) {
         if (auto load = decodeLoad(item.value)) {
             daemon.load = std::move(load.value());
+            daemon.loadAt = daemon.keysListed ? std::optional(now.uptime) : std::nullopt;
         } else {
             log_event("cell_load_malformed", log_level::Error).with("problem", load.error().message);
         }
@@ -138,6 +139,7 @@
         applyCellRemoval(daemon, key, now);
     };
     sink.listed = [&daemon](const clock_reading &now) {
+        daemon.keysListed = true;
         onKeysListed(*daemon.election, now);
         if (daemon.registration.value == 0 && !daemon.registrationTimer.is_linked()) {
             maintainRegistration(daemon, now);
--- a/packages/process/cell_daemon.h
+++ b/packages/process/cell_daemon.h
@@ -35,6 +35,10 @@
     std::shared_ptr<payload_cache> payloads;
     std::optional<daemon_id> leaderName; ///< Holder of the leader's key, if known.
     cell_load load;
+    /// When the load was received, in uptime. Empty for the value that the store had when this process began, which may
+    /// be old.
+    std::optional<time_point> loadAt;
+    bool keysListed = false; ///< The cell's keys have been listed since the process began.
     std::map<daemon_id, address> daemons;
     std::set<address> unreachablePeers; ///< Addresses whose links pass nothing.
 
--- a/packages/process/cell_requests.cpp
+++ b/packages/process/cell_requests.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "connection/cell_codec.h"
 #include "process/job_queries.h"
+#include "request/admission_decision.h"
 #include "term/advice_dispatch.h"
 #include "term/cell_recovery.h"
 #include "version/organisation_check.h"
@@ -16,6 +17,9 @@
 /// Retry-After of requests that arrive before the first configuration was read, or that could not be handled.
 constexpr milliseconds startRetryAfter{1000};
 
+/// Time limit of the read before a refusal because of the load: that of one call to the store.
+constexpr milliseconds storedCheckTimeout = milliseconds(600) + answerMargin;
+
 /// Retry-After of jobs that exceed the limit of their organisation; only a new configuration can change that.
 constexpr milliseconds limitRetryAfter{60000};
 
@@ -64,6 +68,65 @@
     done(call_refused{"the store cannot be reached", retryAfter});
 }
 
+void logLoadRefusal(const accepted_job &job, const admission_decision &decision, milliseconds loadAge)
+{
+    log_event("job_refused")
+        .with("job", job.key)
+        .with("queue", job.policy.queue)
+        .with("organisation", job.organisation)
+        .with("priority", job.policy.priority)
+        .with("work_core_ms", static_cast<std::int64_t>(decision.work))
+        .with("chain_ms", decision.chain.count())
+        .with("objective_ms", decision.objective.count())
+        .with("in_time_ahead_core_ms", decision.inTimeAhead)
+        .with("late_ahead_core_ms", decision.lateAhead)
+        .with("millicores", decision.processors)
+        .with("wait_ms", decision.wait.count())
+        .with("returning", decision.returning)
+        .with("margin", decision.margin)
+        .with("load_age_ms", loadAge.count())
+        .with("retry_after_ms", decision.retryAfter.count());
+}
+
+/// Refuses a job because of the load, unless it is stored already: an earlier submission may have been answered as
+/// unknown, and a refused job must never run. Without an answer of the store it is refused, since nothing was stored
+/// for this request.
+void refuseUnlessStored(cell_daemon &daemon,
+                        const accepted_job &job,
+                        const admission_decision &decision,
+                        milliseconds loadAge,
+                        caller_done done,
+                        const clock_reading &now)
+{
+    const auto answer = [&daemon, job, decision, loadAge, done = std::move(done)](const caller_answer &found) {
+        if (std::holds_alternative<job_status>(found)) {
+            addCount(*daemon.context.counters, cell_metrics::jobsKnown);
+            done(job_accepted{});
+            return;
+        }
+        logLoadRefusal(job, decision, loadAge);
+        addCount(*daemon.context.counters, cell_metrics::jobsRefused);
+        addCount(*daemon.context.counters, cell_metrics::loadRefusals);
+        done(call_refused{
+            "the cell has too much work to complete the job in time", decision.retryAfter, refusal_cause::Load});
+    };
+    queryJob(daemon.context, job.key, storedCheckTimeout, answer, now);
+}
+
+/// Refuses the job if the cell has too much work to complete it in time. Returns false if it is to be stored.
+bool refuseForLoad(cell_daemon &daemon, const accepted_job &job, const caller_done &done, const clock_reading &now)
+{
+    if (!daemon.loadAt || daemon.intake->storeLost) {
+        return false;
+    }
+    const auto loadAge = std::chrono::duration_cast<milliseconds>(now.uptime - *daemon.loadAt);
+    const admission_decision decision = decideAdmission(daemon.load, loadAge, job);
+    if (decision.refused) {
+        refuseUnlessStored(daemon, job, decision, loadAge, countWhileOpen(daemon, done), now);
+    }
+    return decision.refused;
+}
+
 void submitJob(cell_daemon &daemon,
                const caller_request &request,
                const submit_call &call,
@@ -79,17 +142,6 @@
         done(call_malformed{call.problem});
         return;
     }
-    const auto load = daemon.load.queues.find(queue.policy.queue);
-    if (load != daemon.load.queues.end() && load->second.refusing) {
-        log_event("job_refused")
-            .with("job", key)
-            .with("queue", queue.policy.queue)
-            .with("pending", load->second.pending)
-            .with("retry_after_ms", load->second.retryAfter.count());
-        addCount(*daemon.context.counters, cell_metrics::jobsRefused);
-        done(call_refused{"the queue is full", load->second.retryAfter, refusal_cause::Load});
-        return;
-    }
     if (const job_step *step = findStepAboveLimit(*daemon.configuration, organisation, call.job)) {
         log_event("job_above_limit")
             .with("job", key)
@@ -103,6 +155,9 @@
         return;
     }
     accepted_job job{key, call.job, queue.policy, now.utc, organisation};
+    if (refuseForLoad(daemon, job, done, now)) {
+        return;
+    }
     if (!daemon.intake->storeLost) {
         enqueueJob(*daemon.intake, std::move(job), request.timeout, countWhileOpen(daemon, std::move(done)), now);
     } else if (canRelay(*daemon.relay, daemon.unreachablePeers, now)) {
--- a/packages/request/request_timeline.cpp
+++ b/packages/request/request_timeline.cpp
@@ -108,7 +108,7 @@
         return "refused, because a daemon had lost the store";
     }
     if (findEvent(own, "job_refused") != nullptr) {
-        return "refused, because its queue was full";
+        return "refused, because the cell had too much work";
     }
     if (const log_line *malformed = findEvent(own, "job_malformed")) {
         return "refused as malformed: " + fieldOf(*malformed, "problem");
--- a/packages/term/load_report.cpp
+++ b/packages/term/load_report.cpp
@@ -70,7 +70,8 @@
     }
     leader->nextLoadAt = now.uptime + loadPeriod;
     leader->loadWriting = true;
-    const cell_load load = countLoad(leader->state);
+    cell_load load = countLoad(leader->state);
+    addBacklog(load, leader->state, now);
     for (const auto &[queue, entry] : load.queues) {
         const auto before = leader->load.queues.find(queue);
         if (entry.refusing && (before == leader->load.queues.end() || !before->second.refusing)) {
--- a/packages/term/objective.cpp
+++ b/packages/term/objective.cpp
@@ -1,6 +1,6 @@
 #include "term/objective.h"
 
-#include <algorithm>
+#include "request/job_chain.h"
 
 namespace sesamespar {
 
@@ -8,29 +8,15 @@
 
 /// A late job still has a part of its value up to this multiple of its objective.
 constexpr int lateFactor = 3;
-/// The objective allows for one request to the advisor for each step of the chain, with this many workers.
-constexpr int adviceWorkers = 30;
 
 /// Duration of the longest chain of dependent steps, in milliseconds; finished steps count as 0 if `remainingOnly`.
 double chainMs(const cell_state &state, const cell_job &job, bool remainingOnly)
 {
-    std::vector<double> ends(job.steps.size(), 0);
-    double longest = 0;
-    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-        double start = 0;
-        for (const std::uint32_t earlier : job.accepted.job.steps[step].after) {
-            start = std::max(start, ends[earlier]);
-        }
+    const double allowance = adviceAllowanceMs(job.accepted.policy);
+    return longestChain(job.accepted.job.steps, [&](std::uint32_t step) {
         const bool over = remainingOnly && job.steps[step].done == job.steps[step].count;
-        double length = over ? 0 : static_cast<double>(expectedDuration(state, job, step).count());
-        if (!over && job.accepted.policy.advice) {
-            const advice_timing &advice = *job.accepted.policy.advice;
-            length += advice.decide.count() + adviceWorkers * advice.perWorker.count();
-        }
-        ends[step] = start + length;
-        longest = std::max(longest, ends[step]);
-    }
-    return longest;
+        return over ? 0 : static_cast<double>(expectedDuration(state, job, step).count()) + allowance;
+    });
 }
 
 } // namespace
--- a/packages/term/waiting_steps.cpp
+++ b/packages/term/waiting_steps.cpp
@@ -127,6 +127,11 @@
     return waiting;
 }
 
+bool precedesLateWork(const waiting_step &waiting)
+{
+    return rankOf(waiting) == 0;
+}
+
 bool isDeferrable(const waiting_step &waiting)
 {
     return waiting.job->surplus || waiting.forecast.prospect == job_prospect::Overdue;
--- a/packages/term/waiting_steps.h
+++ b/packages/term/waiting_steps.h
@@ -30,6 +30,9 @@
 /// list of the state.
 std::vector<waiting_step> collectWaiting(cell_state &state, utc_time now);
 
+/// True if the step is placed before those of all late jobs: its job can be in time or is urgent.
+bool precedesLateWork(const waiting_step &waiting);
+
 /// True if the job gains nothing from a start now instead of later: it is overdue, or beyond its organisation's weight.
 bool isDeferrable(const waiting_step &waiting);
 
