--- a/packages/process/cell_requests.cpp
+++ b/packages/process/cell_requests.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "connection/cell_codec.h"
 #include "process/job_queries.h"
+#include "request/admission_decision.h"
 #include "term/advice_dispatch.h"
 #include "term/cell_recovery.h"
 #include "version/organisation_check.h"
@@ -13,9 +14,12 @@
 
 namespace {
 
-/// Retry-After of requests that arrive before the first configuration was read.
+/// Retry-After of requests that arrive before the first configuration was read, or that could not be handled.
 constexpr milliseconds startRetryAfter{1000};
 
+/// Time limit of the read before a refusal because of the load: that of one call to the store.
+constexpr milliseconds storedCheckTimeout = milliseconds(600) + answerMargin;
+
 /// Retry-After of jobs that exceed the limit of their organisation; only a new configuration can change that.
 constexpr milliseconds limitRetryAfter{60000};
 
@@ -50,11 +54,77 @@
     };
 }
 
-void refuseWithoutStore(const cell_daemon &daemon, const job_key &key, const caller_done &done)
+void refuseWithoutStore(const cell_daemon &daemon,
+                        const job_key &key,
+                        const caller_done &done,
+                        const clock_reading &now)
 {
+    const milliseconds retryAfter = retryAfterOutage(*daemon.intake, key, now.uptime, now);
     addCount(*daemon.context.counters, cell_metrics::storeLostRefusals);
-    log_event("store_lost_refusal").with("job", key);
-    done(call_refused{"the store cannot be reached", storeRetryAfter});
+    log_event("store_lost_refusal")
+        .with("job", key)
+        .with("down_ms", std::chrono::duration_cast<milliseconds>(now.uptime - daemon.intake->lostSince).count())
+        .with("retry_after_ms", retryAfter.count());
+    done(call_refused{"the store cannot be reached", retryAfter});
+}
+
+void logLoadRefusal(const accepted_job &job, const admission_decision &decision, milliseconds loadAge)
+{
+    log_event("job_refused")
+        .with("job", job.key)
+        .with("queue", job.policy.queue)
+        .with("organisation", job.organisation)
+        .with("priority", job.policy.priority)
+        .with("work_core_ms", static_cast<std::int64_t>(decision.work))
+        .with("chain_ms", decision.chain.count())
+        .with("objective_ms", decision.objective.count())
+        .with("in_time_ahead_core_ms", decision.inTimeAhead)
+        .with("late_ahead_core_ms", decision.lateAhead)
+        .with("millicores", decision.processors)
+        .with("wait_ms", decision.wait.count())
+        .with("returning", decision.returning)
+        .with("margin", decision.margin)
+        .with("load_age_ms", loadAge.count())
+        .with("retry_after_ms", decision.retryAfter.count());
+}
+
+/// Refuses a job because of the load, unless it is stored already: an earlier submission may have been answered as
+/// unknown, and a refused job must never run. Without an answer of the store it is refused, since nothing was stored
+/// for this request.
+void refuseUnlessStored(cell_daemon &daemon,
+                        const accepted_job &job,
+                        const admission_decision &decision,
+                        milliseconds loadAge,
+                        caller_done done,
+                        const clock_reading &now)
+{
+    const auto answer = [&daemon, job, decision, loadAge, done = std::move(done)](const caller_answer &found) {
+        if (std::holds_alternative<job_status>(found)) {
+            addCount(*daemon.context.counters, cell_metrics::jobsKnown);
+            done(job_accepted{});
+            return;
+        }
+        logLoadRefusal(job, decision, loadAge);
+        addCount(*daemon.context.counters, cell_metrics::jobsRefused);
+        addCount(*daemon.context.counters, cell_metrics::loadRefusals);
+        done(call_refused{
+            "the cell has too much work to complete the job in time", decision.retryAfter, refusal_cause::Load});
+    };
+    queryJob(daemon.context, job.key, storedCheckTimeout, answer, now);
+}
+
+/// Refuses the job if the cell has too much work to complete it in time. Returns false if it is to be stored.
+bool refuseForLoad(cell_daemon &daemon, const accepted_job &job, const caller_done &done, const clock_reading &now)
+{
+    if (!daemon.loadAt || daemon.intake->storeLost) {
+        return false;
+    }
+    const auto loadAge = std::chrono::duration_cast<milliseconds>(now.uptime - *daemon.loadAt);
+    const admission_decision decision = decideAdmission(daemon.load, loadAge, job);
+    if (decision.refused) {
+        refuseUnlessStored(daemon, job, decision, loadAge, countWhileOpen(daemon, done), now);
+    }
+    return decision.refused;
 }
 
 /// Refuses a job that exceeds the limit of its organisation, unless it was accepted before the limit was lowered. Such
@@ -102,17 +172,6 @@
         done(call_malformed{call.problem});
         return;
     }
-    const auto load = daemon.load.queues.find(queue.policy.queue);
-    if (load != daemon.load.queues.end() && load->second.refusing) {
-        log_event("job_refused")
-            .with("job", key)
-            .with("queue", queue.policy.queue)
-            .with("pending", load->second.pending)
-            .with("retry_after_ms", load->second.retryAfter.count());
-        addCount(*daemon.context.counters, cell_metrics::jobsRefused);
-        done(call_refused{"the queue is full", load->second.retryAfter, refusal_cause::Load});
-        return;
-    }
     if (const job_step *step = findStepAboveLimit(*daemon.configuration, organisation, call.job)) {
         log_event("job_above_limit")
             .with("job", key)
@@ -124,12 +183,16 @@
         return;
     }
     accepted_job job{key, call.job, queue.policy, now.utc, organisation};
+    if (refuseForLoad(daemon, job, done, now)) {
+        return;
+    }
     if (!daemon.intake->storeLost) {
         enqueueJob(*daemon.intake, std::move(job), request.timeout, countWhileOpen(daemon, std::move(done)), now);
-    } else if (canRelay(*daemon.relay, now)) {
-        relayJob(daemon.relay, job, request.timeout, countWhileOpen(daemon, std::move(done)), now);
+    } else if (canRelay(*daemon.relay, daemon.unreachablePeers, now)) {
+        const milliseconds retryAfter = retryAfterOutage(*daemon.intake, key, now.uptime, now);
+        relayJob(daemon.relay, job, request.timeout, retryAfter, countWhileOpen(daemon, std::move(done)), now);
     } else {
-        refuseWithoutStore(daemon, key, done);
+        refuseWithoutStore(daemon, key, done, now);
     }
 }
 
@@ -338,17 +401,35 @@
     } else if (const auto *submit = std::get_if<submit_call>(&request.call)) {
         submitJob(daemon, request, *submit, *queue, *organisation, key, std::move(done), now);
     } else if (daemon.intake->storeLost) {
-        refuseWithoutStore(daemon, key, done);
+        refuseWithoutStore(daemon, key, done, now);
     } else {
         requestCancel(daemon.context, key, request.timeout, countWhileOpen(daemon, std::move(done)), now);
     }
 }
 
+caller_answer answerAfterError(const cell_daemon &daemon, const caller_request &request)
+{
+    const auto isOfRequest = [&request](const job_key &key) {
+        return request.path.ends_with(key.value);
+    };
+    const auto &queued = daemon.intake->waiting;
+    const auto &relayed = daemon.relay->open;
+    // A transaction is sent only after the batch of events, so a job of this request that is not queued is in none.
+    const bool takenOver =
+        std::any_of(queued.begin(), queued.end(), [&](const auto &job) { return isOfRequest(job.job.key); })
+        || std::any_of(
+            relayed.begin(), relayed.end(), [&](const auto &entry) { return isOfRequest(entry.second.key); });
+    if (std::holds_alternative<submit_call>(request.call) && !takenOver) {
+        return call_refused{"the request could not be handled", startRetryAfter};
+    }
+    return outcome_unknown{"the handling of the request ended with an error"};
+}
+
 void readStatus(
     cell_daemon &daemon, const job_key &key, milliseconds timeout, caller_done done, const clock_reading &now)
 {
     if (daemon.intake->storeLost) {
-        refuseWithoutStore(daemon, key, done);
+        refuseWithoutStore(daemon, key, done, now);
     } else {
         queryJob(daemon.context, key, timeout, std::move(done), now);
     }
