Log the backlog of each full pool

Cause: the work that refusals rest on was visible in the refusals only. Change: the leader writes pool_backlog each second for each full pool. Measured: test_correctness_admission, cell_path and test_error_cell_failures pass.

--- a/packages/term/load_report.cpp
+++ b/packages/term/load_report.cpp
@@ -61,6 +61,25 @@
     leader.passes = {};
 }
 
+/// Logs the backlog of each pool whose jobs may be refused.
+void logBacklog(const cell_load &load)
+{
+    for (const auto &[service, pool] : load.pools) {
+        std::int64_t inTime = 0;
+        std::int64_t late = 0;
+        for (const backlog_row &row : pool.rows) {
+            inTime += row.inTime;
+            late += row.late;
+        }
+        log_event("pool_backlog")
+            .with("service", service)
+            .with("millicores", pool.processors)
+            .with("in_time_core_ms", inTime)
+            .with("late_core_ms", late)
+            .with("rows", pool.rows.size());
+    }
+}
+
 } // namespace
 
 void reportLoad(const std::shared_ptr<cell_leader> &leader, const clock_reading &now)
@@ -72,6 +91,7 @@
     leader->loadWriting = true;
     cell_load load = countLoad(leader->state);
     addBacklog(load, leader->state, now);
+    logBacklog(load);
     for (const auto &[queue, entry] : load.queues) {
         const auto before = leader->load.queues.find(queue);
         if (entry.refusing && (before == leader->load.queues.end() || !before->second.refusing)) {
