Explain requests that were rejected for their key or the limit of an organisation

Cause: "sesamespar explain" did not know job_above_limit, and the line of a rejected key named no job, so that such requests were "never answered" or not found.

--- a/packages/process/cell_requests.cpp
+++ b/packages/process/cell_requests.cpp
@@ -314,7 +314,7 @@
     if (!organisation) {
         addCount(*daemon.context.counters, cell_metrics::keysRejected);
         log_event("key_rejected")
-            .with("path", request.path)
+            .with("job", pathAfterQueue(request, *queue))
             .with("queue", queue->policy.queue)
             .with("has_key", !request.key.value.empty())
             .with("version", daemon.configuration->version);
--- a/packages/request/day_series.cpp
+++ b/packages/request/day_series.cpp
@@ -41,7 +41,8 @@
     const std::string outcome = fieldOf(line, "outcome");
     if (line.event == "cell_use") {
         addUse(entry, line);
-    } else if (line.event == "store_lost_refusal" || line.event == "job_refused" || outcome == "refused") {
+    } else if (line.event == "store_lost_refusal" || line.event == "job_refused" || line.event == "job_above_limit"
+               || outcome == "refused") {
         ++entry.refused;
     } else if (line.event == "job_submitted" && outcome == "unknown") {
         ++entry.unknown;
--- a/packages/request/request_timeline.cpp
+++ b/packages/request/request_timeline.cpp
@@ -110,6 +110,12 @@
     if (findEvent(own, "job_refused") != nullptr) {
         return "refused, because its queue was full";
     }
+    if (findEvent(own, "job_above_limit") != nullptr) {
+        return "refused, because one of its steps exceeds the limit of its organisation";
+    }
+    if (findEvent(own, "key_rejected") != nullptr) {
+        return "rejected, because it had no API key that was valid for its queue";
+    }
     if (const log_line *malformed = findEvent(own, "job_malformed")) {
         return "refused as malformed: " + fieldOf(*malformed, "problem");
     }
--- a/packages/term/organisation_usage.cpp
+++ b/packages/term/organisation_usage.cpp
@@ -11,9 +11,10 @@
 
 namespace {
 
-/// Number of seconds for which the numbers of accepted jobs are kept, 30 kB an organisation. Jobs reach the leader up
-/// to some seconds after their acceptance, and the backlog of a predecessor after minutes. Seconds are dropped by their
-/// number and not by their age, so that a single job with a time in the future does not displace all others.
+/// Number of seconds for which the numbers of accepted jobs are kept, an estimated 30 kB an organisation. Jobs reach
+/// the leader up to some seconds after their acceptance, and the backlog of a predecessor after minutes. Seconds are
+/// dropped by their number and not by their age, so that a single job with a time in the future does not displace all
+/// others.
 constexpr std::size_t keptSeconds = 600;
 
 constexpr std::int64_t msPerSecond = 1000;
--- a/test/correctness/request_timeline.cpp
+++ b/test/correctness/request_timeline.cpp
@@ -122,6 +122,10 @@
           == "refused, because a daemon had lost the store");
     CHECK(outcome("time_ms=5 event=job_refused job=f90fe8b5cccbfffb pending=9")
           == "refused, because its queue was full");
+    CHECK(outcome("time_ms=5 event=job_above_limit job=f90fe8b5cccbfffb organisation=a")
+          == "refused, because one of its steps exceeds the limit of its organisation");
+    CHECK(outcome("time_ms=5 event=key_rejected job=f90fe8b5cccbfffb has_key=1")
+          == "rejected, because it had no API key that was valid for its queue");
     CHECK(outcome("time_ms=5 event=job_malformed job=f90fe8b5cccbfffb problem=\"no steps\"")
           == "refused as malformed: no steps");
     CHECK(outcome("time_ms=5 event=job_submitted job=f90fe8b5cccbfffb outcome=unknown") == "answered as unknown");
