Keep the limit for a favoured gang until it has capacity as well

Cause: a gang that had got the limit of its organisation lost it in the next pass to smaller steps ahead of it, if capacity was still missing, and had to wait for the limit again. Change: the wait lasts until the gang is placed, or until no capacity is kept for it although it is within the limit. step_waits names the limit only if it stopped the step in the latest pass.

--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -118,8 +118,9 @@
     step_advice advice; ///< What the advisor has said about the workers for this step.
     run_number failedRun; ///< Latest run of a gang that was counted as a failure.
     step_durations durations; ///< Of its tasks that have ended.
-    /// In uptime; since then no task could start because of the limit of the organisation. Empty if it is not waiting
-    /// for the limit.
+    bool limited = false; ///< No task could start in the latest pass because of the limit of the organisation.
+    /// When the wait for the limit began, in uptime. For a gang, it ends with its placement, or when no capacity is
+    /// kept for the gang although it is within the limit. Empty if there is none.
     std::optional<time_point> limitedSince;
 };
 
--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -365,13 +365,16 @@
 {
     const job_step &declared = waiting.declared();
     const std::size_t wanted = countWaiting(waiting);
-    const auto withinLimit = tasksWithinLimit(*waiting.job, waiting.step, static_cast<std::int64_t>(wanted));
-    const bool waitsForLimit = withinLimit < static_cast<std::int64_t>(wanted);
-    recordLimitWait(*waiting.job, waiting.step, waitsForLimit, pass.now.uptime);
-    if (waitsForLimit || tasksAllowed(pass, waiting, wanted) < wanted) {
-        if (waitsForLimit) {
-            keepLimit(*waiting.job, waiting.step);
-        }
+    cell_step &step = waiting.state();
+    if (tasksWithinLimit(*waiting.job, waiting.step, static_cast<std::int64_t>(wanted))
+        < static_cast<std::int64_t>(wanted)) {
+        beginLimitWait(*waiting.job, step, pass.now.uptime);
+        keepLimit(*waiting.job, waiting.step);
+        return;
+    }
+    step.limited = false;
+    if (tasksAllowed(pass, waiting, wanted) < wanted) {
+        endLimitWait(step);
         return;
     }
     const std::vector<candidate> candidates = listCandidates(pass, waiting);
@@ -383,12 +386,15 @@
             pass.gatheringMillicores += declared.need.processors.value * waiting.state().count;
             deductCapacity(pass, places, declared.need);
             keepLimit(*waiting.job, waiting.step);
+        } else {
+            endLimitWait(step);
         }
         return;
     }
     if (std::all_of(
             places.begin(), places.end(), [](const candidate &place) { return place.ticket == ticket_state::Valid; })) {
         placeTasks(pass, waiting, places);
+        endLimitWait(step);
         return;
     }
     if (std::any_of(places.begin(), places.end(), [](const candidate &place) {
@@ -396,7 +402,7 @@
         })) {
         requestTickets(pass, waiting, candidates, wanted);
     }
-    if (waiting.state().advice.openRequests > 0) {
+    if (step.advice.openRequests > 0) {
         deductCapacity(pass, places, declared.need);
         keepLimit(*waiting.job, waiting.step);
     }
@@ -405,7 +411,11 @@
 /// Places as many tasks of a step as fit.
 void placeSingles(placement_pass &pass, const waiting_step &waiting)
 {
-    recordLimitWait(*waiting.job, waiting.step, tasksWithinLimit(*waiting.job, waiting.step, 1) == 0, pass.now.uptime);
+    if (tasksWithinLimit(*waiting.job, waiting.step, 1) == 0) {
+        beginLimitWait(*waiting.job, waiting.state(), pass.now.uptime);
+        return;
+    }
+    endLimitWait(waiting.state());
     const std::size_t wanted = tasksAllowed(pass, waiting, countWaiting(waiting));
     if (wanted == 0) {
         return;
--- a/packages/term/organisation_usage.cpp
+++ b/packages/term/organisation_usage.cpp
@@ -257,14 +257,18 @@
     }
 }
 
-void recordLimitWait(cell_job &job, std::uint32_t step, bool waits, time_point uptime)
+void beginLimitWait(const cell_job &job, cell_step &step, time_point uptime)
 {
-    std::optional<time_point> &since = job.steps[step].limitedSince;
-    if (job.organisation == nullptr || !waits) {
-        since.reset();
-    } else if (!since) {
-        since = uptime;
+    if (job.organisation != nullptr) {
+        step.limited = true;
+        step.limitedSince = step.limitedSince.value_or(uptime);
     }
 }
 
+void endLimitWait(cell_step &step)
+{
+    step.limited = false;
+    step.limitedSince.reset();
+}
+
 } // namespace sesamespar
--- a/packages/term/organisation_usage.h
+++ b/packages/term/organisation_usage.h
@@ -38,7 +38,10 @@
 /// Keeps nothing for a gang that alone exceeds the limit, which would stop all other work of the organisation.
 void keepLimit(const cell_job &job, std::uint32_t step);
 
-/// Records whether a step waits for the limit of its organisation, and since when.
-void recordLimitWait(cell_job &job, std::uint32_t step, bool waits, time_point uptime);
+/// Records that a step waits for the limit of its organisation, and since when.
+void beginLimitWait(const cell_job &job, cell_step &step, time_point uptime);
+
+/// Records that a step does not wait for the limit of its organisation any more.
+void endLimitWait(cell_step &step);
 
 } // namespace sesamespar
--- a/packages/term/wait_report.cpp
+++ b/packages/term/wait_report.cpp
@@ -34,7 +34,7 @@
 /// What the step waits for.
 const char *reasonOf(const cell_step &step, const step_fits &found)
 {
-    if (step.limitedSince) {
+    if (step.limited) {
         return "limit";
     }
     if (step.advice.openRequests > 0) {
--- a/test/correctness/organisations.cpp
+++ b/test/correctness/organisations.cpp
@@ -263,6 +263,29 @@
     }
 }
 
+TEST_CASE("a gang that has got the limit keeps it while it waits for capacity")
+{
+    // Smaller steps took the limit again in the next pass, before there was capacity for the gang.
+    shared_state shared(cores(4));
+    shared.state.policy.ties = tie_order::LeastWork;
+    cell_job &first = shared.add("first", cores(1), 2);
+    shared.organisation = "b";
+    cell_job &other = shared.add("other", cores(2), 7);
+    shared.place();
+    shared.organisation = "a";
+    cell_job &gang = shared.add("gang", cores(1), 4, true);
+    shared.place(10);
+    shared.end(first, 0);
+    shared.end(first, 1);
+    shared.place(1100);
+    const cell_job &small = shared.add("small", cores(1));
+    CHECK(shared.place(1120) == 0);
+    shared.end(other, 0);
+    shared.place(1130);
+    CHECK(gang.steps[0].placed == 4);
+    CHECK(small.steps[0].placed == 0);
+}
+
 TEST_CASE("a surplus gang that waits for the limit holds no job within the weight back")
 {
     shared_state shared(cores(4), 1);
--- a/test/fuzz/cell_model.cpp
+++ b/test/fuzz/cell_model.cpp
@@ -420,7 +420,7 @@
     settings.directWorkers = seed % 2 == 0 ? 64 : 0;
     simulated_cell cell(settings);
     const auto declare = [](const char *name, std::int64_t cores) {
-        const resources limit{millicores(cores * 1000), mebibytes(16 * 1024), accelerators(0)};
+        const resources limit{millicores(cores * 1000), mebibytes(16384), accelerators(0)};
         return organisation_declaration{organisation_id(name), {api_key(name)}, 2, limit};
     };
     applyConfiguration(cell, 2, {makeQueue(cell)}, {declare("a", 11), declare("b", 17)});
