Move only runs without progress in a cell with uneven workers

Cause: a task that takes 7 times as long, or one on a worker of speed 0.6, is often the only run of a report, so its worker looks several times slower; the run was moved up to twice and began again, as long as before. Change: in a cell with uneven workers only runs without progress are moved (movesProgressingRuns). The case in correctness/sustained_speed needs the new setting, so it was not run on the code before.

--- a/packages/term/cell_policy.h
+++ b/packages/term/cell_policy.h
@@ -63,6 +63,12 @@
     bool failedTasksElsewhere = true;
     /// Moves runs away from hung or slow workers. Addresses workers that become several times slower.
     bool movesSlowRuns = true;
+    /// Moves runs that progress slowly as well, not only those without progress. Off for uneven workers, where a task
+    /// of the tail of the durations, or one on a slow worker, is often the only run that is reported and looks like a
+    /// slow worker; it would take as long elsewhere.
+    bool movesProgressingRuns = true;
+
+    bool operator==(const cell_policy &) const = default;
 };
 
 } // namespace sesamespar
--- a/packages/term/policy_selection.cpp
+++ b/packages/term/policy_selection.cpp
@@ -30,6 +30,7 @@
         policy.reservedShare = reservedForArrivals;
         policy.durations = duration_source::Learned;
     }
+    policy.movesProgressingRuns = !inputs.unevenWorkers;
     policy.matchesSpeeds = inputs.unevenWorkers;
     return policy;
 }
--- a/packages/term/worker_speed.cpp
+++ b/packages/term/worker_speed.cpp
@@ -19,6 +19,8 @@
 constexpr double cellWeight = 0.02;
 /// Share of the cell's mean speed below which a worker is slow. Slow workers of the platform take 4 to 8 times as long.
 constexpr double slowShare = 0.35;
+/// The same for a run without progress; whole percents show progress in each report of a task of up to 30 s.
+constexpr double hungShare = 0.05;
 /// Time for which a slow worker gets only one run at a time; each report of a slow speed renews it.
 constexpr milliseconds avoidance{1500};
 /// A run is moved if its remaining work takes this many times as long as all of its work would elsewhere.
@@ -72,6 +74,9 @@
     if (run.state != run_state::Running || !isSlow(state, run.speed) || run.run.value > task.failures + maxMoves) {
         return false;
     }
+    if (!state.policy.movesProgressingRuns && run.speed >= hungShare * state.meanSpeed) {
+        return false;
+    }
     const double expected = expectedMs(state, run);
     const double left = (wholeWork - run.percent) / wholeWork * expected;
     return left > gainToMove * expected * std::max(run.speed, 0.0);
--- a/test/correctness/sustained_speed.cpp
+++ b/test/correctness/sustained_speed.cpp
@@ -3,8 +3,10 @@
 #include "term/sustained_speed.h"
 
 #include "term/job_placement.h"
+#include "term/policy_selection.h"
 #include "term/run_lifecycle.h"
 #include "term/worker_reports.h"
+#include "term/worker_speed.h"
 
 #include <catch2/catch.hpp>
 
@@ -224,3 +226,22 @@
         }
     }
 }
+
+TEST_CASE("a cell with uneven workers moves only runs without progress")
+{
+    // Guards against moves of tasks that take 7 times as long, which look like runs on a slow worker.
+    for (const bool uneven : {false, true}) {
+        for (const int percents : {0, 3}) {
+            uneven_cell cell(2);
+            cell.state.policy = selectPolicy({false, uneven});
+            cell_job &job = cell.add({});
+            placed_run &run = placeRun(cell.state, job, task_position(0), run_number(1), *cell.state.slots[0], at(0));
+            run.state = run_state::Running;
+            for (int report = 0; report <= 6; ++report) {
+                assessSpeed(cell.state, *run.worker, {{&run, report * percents}}, at(std::int64_t{400} * report));
+            }
+            INFO(uneven << ' ' << percents);
+            CHECK((run.state == run_state::Stopping) == (!uneven || percents == 0));
+        }
+    }
+}
--- a/test/performance/measure_placement.cpp
+++ b/test/performance/measure_placement.cpp
@@ -122,6 +122,7 @@
         policy.reservedShare = 0.12;
         policy.durations = duration_source::Learned;
         policy.matchesSpeeds = true;
+        policy.movesProgressingRuns = false;
     }
     std::cout
         << "command: measure_placement " << seed << (overload ? " overload" : "")
--- a/test/performance/measure_policies.cpp
+++ b/test/performance/measure_policies.cpp
@@ -70,6 +70,7 @@
     overload.reservedShare = 0.12;
     overload.durations = duration_source::Learned;
     overload.matchesSpeeds = true;
+    overload.movesProgressingRuns = false;
     std::vector<named_policy> all{{"default", cell_policy()}, {"overload", overload}};
     const auto with = [&](const std::string &name, cell_policy policy, auto change) {
         change(policy);
@@ -88,7 +89,7 @@
     });
     with("overload, latest start", overload, [](cell_policy &policy) { policy.ties = tie_order::LatestStart; });
     with("overload, speeds ignored", overload, [](cell_policy &policy) { policy.matchesSpeeds = false; });
-    with("overload, slow runs left", overload, [](cell_policy &policy) { policy.movesSlowRuns = false; });
+    with("overload, slow runs moved", overload, [](cell_policy &policy) { policy.movesProgressingRuns = true; });
     for (const double share : {0.0, 0.06, 0.2}) {
         std::ostringstream name;
         name << "overload, reserved " << share;
