Log every change of the selected policy

Cause: policy_selected was logged only if the tie order changed, so a cell with organisations whose workers became uneven changed its placement without a line. Change: any change of the policy is logged, with the settings for durations and speeds. No test: the decision is only observable in the log.

--- a/packages/term/cell_leader.cpp
+++ b/packages/term/cell_leader.cpp
@@ -67,11 +67,13 @@
 {
     const cell_policy before = state.policy;
     state.policy = selectPolicy(policyInputs(state));
-    if (state.policy.ties != before.ties) {
+    if (state.policy != before) {
         log_event("policy_selected")
             .with("organisations", state.organisations.size())
             .with("uneven_workers", state.unevenWorkers)
             .with("least_work_first", state.policy.ties == tie_order::LeastWork)
+            .with("learned_durations", state.policy.durations == duration_source::Learned)
+            .with("matches_speeds", state.policy.matchesSpeeds)
             .with("reserved_share", state.policy.reservedShare);
     }
 }
