--- a/test/correctness/sustained_speed.cpp
+++ b/test/correctness/sustained_speed.cpp
@@ -134,7 +134,9 @@
             false},
         row{"estimates off by up to 1.9",
             equal,
-            [](std::size_t worker, int round) -> std::int64_t { return (worker + round) % 2 == 0 ? 1900 : 526; },
+            [](std::size_t worker, int round) -> std::int64_t {
+                return (static_cast<int>(worker) + round) % 2 == 0 ? 1900 : 526;
+            },
             sameQueue,
             false},
         row{"two queues on separate workers, whose estimates are off by 1.9 in opposite directions",
@@ -143,7 +145,9 @@
             [](std::size_t worker) { return worker % 2 == 0 ? "a" : "b"; },
             false},
         row{"every 33rd task takes 7 times as long",
-            [](std::size_t worker, int round) -> std::int64_t { return (worker + 7 * round) % 33 == 0 ? 7000 : 1000; },
+            [](std::size_t worker, int round) -> std::int64_t {
+                return (static_cast<int>(worker) + 7 * round) % 33 == 0 ? 7000 : 1000;
+            },
             exact,
             sameQueue,
             false},
