--- a/packages/connection/http_requests.cpp
+++ b/packages/connection/http_requests.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <condition_variable>
+#include <deque>
 #include <mutex>
 #include <unordered_map>
 #include <unordered_set>
@@ -35,24 +36,32 @@
     std::atomic<std::uint64_t> bytesReceived = 0;
 };
 
-/// The client of one address and the number of its calls in progress.
+struct pending_call;
+
+/// A call that waits for a connection.
+struct waiting_call {
+    std::shared_ptr<pending_call> call;
+    outgoing_request message;
+};
+
+/// The client of one address, its calls in progress, and the calls that wait for one of these to end.
 struct address_client {
     explicit address_client(std::shared_ptr<http_client> httpClient)
         : client(std::move(httpClient))
     {
     }
 
-    std::shared_ptr<http_client> client;
-    std::size_t openCalls = 0;
+    std::shared_ptr<http_client> client; ///< Keeps its connections open for later calls.
+    std::size_t openCalls = 0; ///< With a connection, of `client` or of their own.
+    std::size_t openKept = 0; ///< Those of them that use a connection of `client`.
+    std::deque<waiting_call> waiting;
 };
 
-struct pending_call;
-
 } // namespace
 
 struct http_requests {
-    explicit http_requests(std::size_t callLimit)
-        : callsPerAddress(callLimit)
+    explicit http_requests(const http_limits &perAddress)
+        : limits(perAddress)
     {
     }
     ~http_requests()
@@ -62,7 +71,7 @@
     http_requests(const http_requests &) = delete;
     http_requests &operator=(const http_requests &) = delete;
 
-    const std::size_t callsPerAddress;
+    const http_limits limits;
     traffic_counters counters;
 
     std::mutex mutex;
@@ -74,7 +83,8 @@
 
 namespace {
 
-/// A call in progress. It lives until its task and its timer have run; only then does the pool count it as finished.
+/// A call that is in progress or waits. It lives until its task and its timer have run; only then does the pool count
+/// it as finished.
 struct pending_call {
     pending_call(http_requests &requests, address receiver, http_done callback)
         : pool(requests)
@@ -84,18 +94,7 @@
         , done(std::move(callback))
     {
     }
-    ~pending_call()
-    {
-        if (!client) {
-            return;
-        }
-        const std::lock_guard lock(pool.mutex);
-        pool.pending.erase(this);
-        --client->openCalls;
-        if (pool.pending.empty()) {
-            pool.idle.notify_all();
-        }
-    }
+    ~pending_call();
     pending_call(const pending_call &) = delete;
     pending_call &operator=(const pending_call &) = delete;
 
@@ -106,6 +105,10 @@
     pplx::cancellation_token_source cancellation;
     http_done done;
     std::shared_ptr<address_client> client; ///< Set when the pool admits the call.
+    /// The library's client that has the connection of the call; null while the call waits. Guarded by the pool until
+    /// the call is handed to the library.
+    std::shared_ptr<http_client> sender;
+    bool kept = false; ///< The sender is the shared one of the address; otherwise it closes its connection at its end.
     traffic_totals *traffic = nullptr;
     bool once = false; ///< See outgoing_request.
     time_point writeBy; ///< In uptime.
@@ -138,16 +141,31 @@
     }
 }
 
+/// Removes a call from those that wait for a connection. Returns false if it does not wait.
+bool leaveQueue(const pending_call &call)
+{
+    const std::lock_guard lock(call.pool.mutex);
+    return call.client
+        && std::erase_if(call.client->waiting, [&call](const waiting_call &each) { return each.call.get() == &call; })
+        > 0;
+}
+
 void startDeadline(const pending_ref &call, milliseconds limit)
 {
     call->deadline.expires_after(limit);
     call->deadline.async_wait([call](const boost::system::error_code &cancelled) {
-        if (!cancelled && !call->finished) {
-            dropConnections(*call);
-            finish(call, makeError(error_kind::Unknown, "call to " + call->to.value + " timed out"));
-            call->suspicion.cancel();
-            call->cancellation.cancel();
+        if (cancelled || call->finished) {
+            return;
         }
+        if (leaveQueue(*call)) {
+            finish(call,
+                   makeError(error_kind::Unreachable, "no connection to " + call->to.value + " was free in time"));
+            return;
+        }
+        dropConnections(*call);
+        finish(call, makeError(error_kind::Unknown, "call to " + call->to.value + " timed out"));
+        call->suspicion.cancel();
+        call->cancellation.cancel();
     });
 }
 
@@ -291,9 +309,26 @@
     }
 }
 
-/// Counts the call among the calls to its address and returns the client for it. Throws an exception of the HTTP
-/// library if the address is malformed.
-result<std::shared_ptr<http_client>> admit(http_requests &requests, const pending_ref &call)
+/// Ends a call that was not handed to the library.
+void endUnsent(const pending_ref &call, error problem)
+{
+    finish(call, std::move(problem));
+    call->deadline.cancel();
+    call->suspicion.cancel();
+}
+
+/// Gives the call a connection: one that is kept or, if as many as may be kept are in use, one of its own.
+void takeConnection(const http_limits &limits, address_client &client, pending_call &call)
+{
+    call.kept = client.openKept < limits.kept;
+    call.sender = call.kept ? client.client : makeClient(call.to);
+    ++client.openCalls;
+    client.openKept += call.kept ? 1 : 0;
+}
+
+/// Registers the call with the client of its address. Returns whether it has a connection; otherwise it waits for one.
+/// Throws an exception of the HTTP library if the address is malformed. Errors: those of a request that is not sent.
+result<bool> admit(http_requests &requests, const pending_ref &call, const outgoing_request &message)
 {
     const std::lock_guard lock(requests.mutex);
     if (requests.stopping) {
@@ -305,56 +340,110 @@
         dropIdleClients(requests);
         found = requests.clients.emplace(call->to, std::make_shared<address_client>(makeClient(call->to))).first;
     }
-    if (found->second->openCalls >= requests.callsPerAddress) {
-        return makeError(error_kind::Overloaded, "too many calls to " + call->to.value + " are in progress");
+    address_client &client = *found->second;
+    const bool connected = client.openCalls < requests.limits.calls;
+    if (connected) {
+        takeConnection(requests.limits, client, *call);
+    } else if (client.waiting.size() < requests.limits.waiting) {
+        client.waiting.push_back({call, message});
+    } else {
+        return makeError(error_kind::Overloaded, "too many calls to " + call->to.value + " are in progress or wait");
     }
-    ++found->second->openCalls;
     requests.pending.insert(call.get());
     call->client = found->second;
-    return found->second->client;
+    return connected;
 }
 
-void send(const pending_ref &call, http_client &client, const outgoing_request &message, milliseconds limit)
+/// Hands an admitted call that has a connection to the library.
+void transmit(const pending_ref &call, const outgoing_request &message)
 {
-    ++call->pool.counters.calls;
-    call->pool.counters.bytesSent += message.body.size();
-    call->traffic = message.traffic;
-    call->once = message.once;
-    call->writeBy = readClocks().uptime + (message.writeWithin.count() > 0 ? message.writeWithin : limit);
-    if (message.traffic != nullptr) {
-        countSent(*message.traffic, message);
+    try {
+        ++call->pool.counters.calls;
+        call->pool.counters.bytesSent += message.body.size();
+        if (message.traffic != nullptr) {
+            countSent(*message.traffic, message);
+        }
+        call->sender->request(makeRequest(call, message), call->cancellation.get_token())
+            .then([call](const web::http::http_response &response) { return readBody(call, response); })
+            .then([call](const pplx::task<http_reply> &answer) { handleOutcome(call, answer); });
+    } catch (const std::exception &problem) {
+        endUnsent(call, makeError(error_kind::Unreachable, call->to.value + ": " + problem.what()));
     }
-    startDeadline(call, limit);
-    if (message.suspectAfter.count() > 0 && message.suspectAfter < limit) {
-        startSuspicion(call, message.suspectAfter);
+}
+
+/// Gives the connection of a call that has ended to the first waiting one, and returns the calls to continue with: that
+/// one, or all waiting ones if the pool stops.
+std::deque<waiting_call> takeWaiting(const pending_call &ended)
+{
+    address_client &client = *ended.client;
+    std::deque<waiting_call> taken;
+    if (!ended.sender) {
+        return taken;
+    }
+    if (!client.waiting.empty() && !ended.pool.stopping) {
+        taken.push_back(std::move(client.waiting.front()));
+        client.waiting.pop_front();
+        taken.front().call->sender = ended.sender;
+        taken.front().call->kept = ended.kept;
+        return taken;
+    }
+    taken.swap(client.waiting);
+    --client.openCalls;
+    client.openKept -= ended.kept ? 1 : 0;
+    return taken;
+}
+
+pending_call::~pending_call()
+{
+    if (!client) {
+        return;
+    }
+    std::deque<waiting_call> next;
+    {
+        const std::lock_guard lock(pool.mutex);
+        next = takeWaiting(*this);
+        pool.pending.erase(this);
+        if (pool.pending.empty()) {
+            pool.idle.notify_all();
+        }
+    }
+    for (const waiting_call &each : next) {
+        if (each.call->sender) {
+            transmit(each.call, each.message);
+        } else {
+            endUnsent(each.call, makeError(error_kind::Unreachable, "the HTTP client has been stopped"));
+        }
     }
-    client.request(makeRequest(call, message), call->cancellation.get_token())
-        .then([call](const web::http::http_response &response) { return readBody(call, response); })
-        .then([call](const pplx::task<http_reply> &answer) { handleOutcome(call, answer); });
 }
 
 } // namespace
 
-std::shared_ptr<http_requests> makeHttpRequests(std::size_t callsPerAddress)
+std::shared_ptr<http_requests> makeHttpRequests(const http_limits &perAddress)
 {
-    return std::make_shared<http_requests>(callsPerAddress);
+    return std::make_shared<http_requests>(perAddress);
 }
 
 void sendHttp(
     http_requests &requests, const address &to, const outgoing_request &message, milliseconds limit, http_done done)
 {
     const auto call = std::make_shared<pending_call>(requests, to, std::move(done));
+    call->traffic = message.traffic;
+    call->once = message.once;
+    call->writeBy = readClocks().uptime + (message.writeWithin.count() > 0 ? message.writeWithin : limit);
+    // The timers start first, since another thread may transmit a call as soon as it waits.
+    startDeadline(call, limit);
+    if (message.suspectAfter.count() > 0 && message.suspectAfter < limit) {
+        startSuspicion(call, message.suspectAfter);
+    }
     try {
-        const auto client = admit(requests, call);
-        if (!client) {
-            finish(call, client.error());
-            return;
+        const result<bool> connected = admit(requests, call, message);
+        if (!connected) {
+            endUnsent(call, connected.error());
+        } else if (connected.value()) {
+            transmit(call, message);
         }
-        send(call, *client.value(), message, limit);
     } catch (const std::exception &problem) {
-        finish(call, makeError(error_kind::Unreachable, to.value + ": " + problem.what()));
-        call->deadline.cancel();
-        call->suspicion.cancel();
+        endUnsent(call, makeError(error_kind::Unreachable, to.value + ": " + problem.what()));
     }
 }
 
--- a/packages/connection/http_requests.h
+++ b/packages/connection/http_requests.h
@@ -8,6 +8,7 @@
 #include "connection/traffic_ledger.h"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -53,7 +54,7 @@
 /// Called exactly once for each request, on a traffic thread or, if the request is rejected before it is sent, on the
 /// thread that calls sendHttp. Errors: Unreachable if the request was not sent, Unknown if it may have taken effect,
 /// InvalidInput if the answer is too long, Overloaded if the request was not sent because too many calls to the address
-/// are in progress.
+/// are in progress or wait.
 using http_done = std::function<void(result<http_reply>)>;
 
 /// Error for an answer that refuses a call. Its kind is `kind` if the refusal proves that the call had no effect, and
@@ -67,8 +68,19 @@
     std::uint64_t bytesReceived = 0;
 };
 
-/// Creates empty pools. At most `callsPerAddress` calls to one address are in progress at a time.
-std::shared_ptr<http_requests> makeHttpRequests(std::size_t callsPerAddress);
+/// Limits of the calls to one address.
+struct http_limits {
+    std::size_t calls = 0; ///< Number of calls in progress, each on a connection of its own.
+    /// Number of further calls that wait for a connection, in order and within their limits.
+    std::size_t waiting = 0;
+    /// Number of connections that are kept open for later calls. Calls beyond it use connections of their own, which
+    /// are closed once no call waits for them. Reliable for requests with a body only: the library may return a
+    /// connection late after other requests.
+    std::size_t kept = std::numeric_limits<std::size_t>::max();
+};
+
+/// Creates empty pools.
+std::shared_ptr<http_requests> makeHttpRequests(const http_limits &perAddress);
 
 /// Sends a request. `limit` bounds the whole call, from sending the request to reading the answer.
 void sendHttp(
--- a/packages/connection/outgoing_calls.cpp
+++ b/packages/connection/outgoing_calls.cpp
@@ -65,8 +65,8 @@
     }
 
     const address store;
-    std::shared_ptr<http_requests> toWorkers = makeHttpRequests(callsPerAddress);
-    std::shared_ptr<http_requests> toStore = makeHttpRequests(callsPerAddress);
+    std::shared_ptr<http_requests> toWorkers = makeHttpRequests({callsPerAddress});
+    std::shared_ptr<http_requests> toStore = makeHttpRequests({callsPerAddress});
 };
 
 std::shared_ptr<outgoing_calls> makeOutgoingCalls(const address &store)
--- a/test/error/resent_platform_call.cpp
+++ b/test/error/resent_platform_call.cpp
@@ -40,7 +40,7 @@
 reused_call<Reply> callReused(raw_server &server, const Call &call)
 {
     const auto start = [&] {
-        reused_call<Reply> started{makeHttpRequests(callsPerAddress), std::make_unique<call_outcome<Reply>>()};
+        reused_call<Reply> started{makeHttpRequests({callsPerAddress}), std::make_unique<call_outcome<Reply>>()};
         openConnection(*started.requests, server);
         call(started.requests, started.outcome->callback());
         return started;
@@ -74,7 +74,7 @@
 result<Reply> outcomeOfFirst(const Call &call, int status, const std::string &body)
 {
     raw_server server;
-    const auto requests = makeHttpRequests(callsPerAddress);
+    const auto requests = makeHttpRequests({callsPerAddress});
     call_outcome<Reply> outcome;
     call(requests, server.listenAddress(), outcome.callback());
     server.accept();
@@ -91,14 +91,14 @@
     start_order order;
     order.task.job = job_key("5c0e7a21d94b36f8");
     order.run = run_number(1);
-    makeWorkerPort(requests, ledger).start({worker_id("i-1"), at}, order, longLimit, std::move(done));
+    makeWorkerPort({requests, requests}, ledger).start({worker_id("i-1"), at}, order, longLimit, std::move(done));
 }
 
 void sendStop(const std::shared_ptr<http_requests> &requests, const address &at, worker_callback<order_reply> done)
 {
     static traffic_ledger ledger; // Must outlive the calls.
     const stop_order order{{job_key("5c0e7a21d94b36f8"), 0, 0}, run_number(1), fencing_token(3)};
-    makeWorkerPort(requests, ledger).stop({worker_id("i-1"), at}, order, longLimit, std::move(done));
+    makeWorkerPort({requests, requests}, ledger).stop({worker_id("i-1"), at}, order, longLimit, std::move(done));
 }
 
 void sendPoll(const std::shared_ptr<http_requests> &requests, const address &at, worker_callback<worker_report> done)
@@ -106,7 +106,7 @@
     static traffic_ledger ledger; // Must outlive the calls.
     worker_poll poll;
     poll.leaseUntil = milliseconds(6000);
-    makeWorkerPort(requests, ledger).poll({worker_id("i-1"), at}, poll, longLimit, std::move(done));
+    makeWorkerPort({requests, requests}, ledger).poll({worker_id("i-1"), at}, poll, longLimit, std::move(done));
 }
 
 void sendTransaction(const std::shared_ptr<http_requests> &requests,
@@ -203,13 +203,13 @@
 {
     // The worker may have restarted meanwhile, and a process that was paused may have sent the call seconds later.
     crowded_server server;
-    const auto requests = makeHttpRequests(callsPerAddress);
+    const auto requests = makeHttpRequests({callsPerAddress});
     call_outcome<worker_report> outcome;
     static traffic_ledger ledger; // Must outlive the calls.
     worker_poll poll;
     poll.wait = longLimit;
     const milliseconds sendingTime(300);
-    makeWorkerPort(requests, ledger)
+    makeWorkerPort({requests, requests}, ledger)
         .poll({worker_id("i-1"), server.listenAddress()}, poll, longLimit + sendingTime, outcome.callback());
     CHECK_FALSE(server.receivesBodyAfter(2 * sendingTime));
     const auto report = outcome.get();
--- a/test/error/silent_http.cpp
+++ b/test/error/silent_http.cpp
@@ -61,7 +61,7 @@
     const auto service = startHttpService("127.0.0.1", 0, server.handler()).value();
     const auto proxy = startLinkProxy();
     const address to = addLink(*proxy, "link", boundAddress(*service)).value();
-    const auto requests = makeHttpRequests(64);
+    const auto requests = makeHttpRequests({64});
     std::vector<pending_reply> open;
     for (std::size_t count = 0; count < pooled; ++count) {
         open.push_back(sendTo(*requests, to, milliseconds(0)));
--- a/test/standins/link_proxy.cpp
+++ b/test/standins/link_proxy.cpp
@@ -277,4 +277,12 @@
     });
 }
 
+std::size_t openConnections(link_proxy &proxy, const std::string &name)
+{
+    return runOnProxyThread(proxy, [&] {
+        const auto found = proxy.links.find(name);
+        return found == proxy.links.end() ? std::size_t(0) : found->second->connections.size();
+    });
+}
+
 } // namespace sesamespar::standins
--- a/test/standins/link_proxy.h
+++ b/test/standins/link_proxy.h
@@ -37,4 +37,7 @@
 /// Returns the number of links that matched.
 std::size_t setLinkFault(link_proxy &proxy, const std::string &pattern, const link_fault &fault);
 
+/// Number of open connections of a link; 0 if there is no such link.
+std::size_t openConnections(link_proxy &proxy, const std::string &name);
+
 } // namespace sesamespar::standins
