Look up the incarnation of a placed run in one function

Cause: revocationReason and handleLook each read the incarnation that a run was placed on from the progress of its job. Change: placedOn reads it; behaviour unchanged.

--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -81,6 +81,12 @@
     return {run.job->accepted.key, run.position, run.run};
 }
 
+/// The incarnation of its worker that the run was placed on.
+worker_incarnation placedOn(const placed_run &run)
+{
+    return run.job->progress.tasks[run.position.value].incarnation;
+}
+
 placed_run *findRun(cell_leader &leader, const run_name &name)
 {
     const auto job = leader.state.jobs.find(name.job);
@@ -325,9 +331,8 @@
     if (run == nullptr || run->begun || (report && stepDownIfFenced(*leader, report.value().refusal))) {
         return;
     }
-    const worker_incarnation placedOn = run->job->progress.tasks[run->position.value].incarnation;
     const bool sameIncarnation =
-        report && report.value().refusal == order_refusal::None && report.value().incarnation == placedOn;
+        report && report.value().refusal == order_refusal::None && report.value().incarnation == placedOn(*run);
     if (sameIncarnation && listsRun(report.value(), *run)) {
         return;
     }
@@ -466,8 +471,8 @@
 const char *revocationReason(const placed_run &run)
 {
     const cell_worker &worker = *run.worker;
-    const worker_incarnation placedOn = run.job->progress.tasks[run.position.value].incarnation;
-    if (placedOn != worker.current || (worker.listed && placedOn != worker.incarnation)) {
+    const worker_incarnation incarnation = placedOn(run);
+    if (incarnation != worker.current || (worker.listed && incarnation != worker.incarnation)) {
         // The new incarnation may be of another kind.
         return "restarted";
     }
