--- a/packages/base/time.h
+++ b/packages/base/time.h
@@ -16,6 +16,12 @@
 /// Wall-clock time in milliseconds since 1970-01-01 UTC, used only for the expiry of requests.
 using utc_time = strong_value<struct utc_time_tag, std::int64_t>;
 
+/// Whole milliseconds from one time to a later one of the same clock; negative if it is not later.
+inline milliseconds elapsedBetween(time_point earlier, time_point later)
+{
+    return std::chrono::duration_cast<milliseconds>(later - earlier);
+}
+
 /// All clocks, read once for each event.
 struct clock_reading {
     time_point monotonic;
--- a/packages/connection/outgoing_link.cpp
+++ b/packages/connection/outgoing_link.cpp
@@ -404,7 +404,7 @@
     if (link.window.packets.empty()) {
         return milliseconds(0);
     }
-    return std::chrono::duration_cast<milliseconds>(currentTime() - link.window.packets.front().queuedAt);
+    return elapsedBetween(link.window.packets.front().queuedAt, currentTime());
 }
 
 } // namespace sesamespar
--- a/packages/process/daemon_report.cpp
+++ b/packages/process/daemon_report.cpp
@@ -243,7 +243,7 @@
     body["name"] = text(state.settings.name.value);
     body["data_centre"] = text(state.settings.dataCentre.value);
     body["incarnation"] = text(std::to_string(state.incarnation.value));
-    const auto uptime = std::chrono::duration_cast<milliseconds>(now.monotonic - state.started);
+    const auto uptime = elapsedBetween(state.started, now.monotonic);
     body["uptime_ms"] = value::number(static_cast<std::int64_t>(uptime.count()));
     body["configuration"] = number(versionInForce(state.configuration).value);
     body["vm_list"] = number(state.roster.list.revision.value);
--- a/packages/process/job_relay.cpp
+++ b/packages/process/job_relay.cpp
@@ -30,7 +30,7 @@
         .with("job", job.key)
         .with("outcome", outcome)
         .with("relayed", true)
-        .with("took_ms", std::chrono::duration_cast<milliseconds>(now.uptime - job.arrivedAt).count());
+        .with("took_ms", elapsedBetween(job.arrivedAt, now.uptime).count());
     addCount(*relay.context.counters, counter);
     recordTime(*relay.context.counters, cell_metrics::requestTime, now.uptime - job.arrivedAt);
     job.done(answer);
--- a/packages/term/advice_dispatch.cpp
+++ b/packages/term/advice_dispatch.cpp
@@ -244,7 +244,7 @@
         .with("step", entry->second.request.step.step)
         .with("proxy", attempt.proxy)
         .with("correlation", correlation)
-        .with("waited_ms", std::chrono::duration_cast<milliseconds>(now.uptime - attempt.sentAt).count());
+        .with("waited_ms", elapsedBetween(attempt.sentAt, now.uptime).count());
 }
 
 } // namespace
@@ -336,7 +336,7 @@
         .with("proxy", attempt.proxy)
         .with("asked", open.request.workers.size())
         .with("good", response.value().suitable.size())
-        .with("took_ms", std::chrono::duration_cast<milliseconds>(now.uptime - attempt.sentAt).count());
+        .with("took_ms", elapsedBetween(attempt.sentAt, now.uptime).count());
 }
 
 void expireAdviceRequests(cell_leader &leader, const clock_reading &now)
--- a/packages/term/cell_recovery.cpp
+++ b/packages/term/cell_recovery.cpp
@@ -184,7 +184,7 @@
     log_event("cell_recovered")
         .with("jobs", leader->state.jobs.size())
         .with("finished", leader->finished.size())
-        .with("took_ms", std::chrono::duration_cast<milliseconds>(now.uptime - leader->beganAt).count());
+        .with("took_ms", elapsedBetween(leader->beganAt, now.uptime).count());
     followWorkers(leader);
 }
 
--- a/packages/term/job_lifecycle.cpp
+++ b/packages/term/job_lifecycle.cpp
@@ -236,7 +236,7 @@
             continue;
         }
         queueStart(state, *target, subject, task);
-        const auto waited = std::chrono::duration_cast<milliseconds>(now.monotonic - progress.waitingSince);
+        const auto waited = elapsedBetween(progress.waitingSince, now.monotonic);
         state.waits.push_back({subject.record.kind, waited});
     }
 }
--- a/packages/term/recovery.cpp
+++ b/packages/term/recovery.cpp
@@ -366,7 +366,7 @@
         .with("data_centre", state.dataCentre)
         .with("epoch", state.epoch)
         .with("jobs", state.jobs.jobs.size())
-        .with("took_ms", std::chrono::duration_cast<milliseconds>(now.monotonic - state.takeoverAt).count());
+        .with("took_ms", elapsedBetween(state.takeoverAt, now.monotonic).count());
 }
 
 void reconcileServices(leader &state, const clock_reading &now)
--- a/packages/term/worker_reports.cpp
+++ b/packages/term/worker_reports.cpp
@@ -71,11 +71,6 @@
     ends.emplace(row.number, std::move(end));
 }
 
-std::int64_t millisecondsSince(time_point earlier, const clock_reading &now)
-{
-    return std::chrono::duration_cast<milliseconds>(now.uptime - earlier).count();
-}
-
 end_number oldestEndIn(const worker_report &report)
 {
     const auto oldest = std::min_element(report.ended.begin(),
@@ -102,7 +97,7 @@
     if (!worker.clock) {
         return false;
     }
-    const auto elapsed = std::chrono::duration_cast<milliseconds>(sentAt - worker.clockAt);
+    const auto elapsed = elapsedBetween(worker.clockAt, sentAt);
     const auto least = static_cast<std::int64_t>(static_cast<double>(elapsed.count()) / slowestClock);
     return report.workerClock < *worker.clock + milliseconds(least - 1);
 }
@@ -157,8 +152,8 @@
                 .with("worker", worker.id)
                 .with("birth", report.incarnation)
                 .with("worker_clock_ms", report.workerClock.count())
-                .with("polled_ms_ago", millisecondsSince(sentAt, now))
-                .with("ordered_ms_ago", millisecondsSince(run->orderedAt, now));
+                .with("polled_ms_ago", elapsedBetween(sentAt, now.uptime).count())
+                .with("ordered_ms_ago", elapsedBetween(run->orderedAt, now.uptime).count());
             endRun(state, *run, run->state == run_state::Stopping ? run_end::Stopped : run_end::LeaseExpired, {}, now);
         }
     }
--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -59,7 +59,7 @@
         return std::nullopt;
     }
     worker.leasesEndBy = std::max(worker.leasesEndBy, now.uptime + longestLeaseTime(leader));
-    const auto since = std::chrono::duration_cast<milliseconds>(now.uptime - worker.clockAt);
+    const auto since = elapsedBetween(worker.clockAt, now.uptime);
     return *worker.clock + since + leader.context.settings.limits.longestLease;
 }
 
@@ -299,7 +299,7 @@
         .with("run", run.run)
         .with("worker", run.worker->id)
         .with("reason", names[static_cast<std::size_t>(refusal)])
-        .with("placed_ms_ago", std::chrono::duration_cast<milliseconds>(now.uptime - run.placedAt).count());
+        .with("placed_ms_ago", elapsedBetween(run.placedAt, now.uptime).count());
     addCount(*leader->context.counters, cell_metrics::startsRefused);
     if (refusal == order_refusal::NoTicket) {
         expireTicket(run.job->steps[stepOf(*run.job, run.position)].advice, run.worker->slot);
@@ -563,7 +563,7 @@
         return;
     }
     const auto since = [&now](time_point earlier) {
-        return std::chrono::duration_cast<milliseconds>(now.uptime - earlier).count();
+        return elapsedBetween(earlier, now.uptime).count();
     };
     addCount(*leader.context.counters, cell_metrics::leasesExpired);
     log_event("worker_leases_lapsed", log_level::Warning)
@@ -621,7 +621,7 @@
             .with("run", run.run)
             .with("worker", worker.id)
             .with("worker_is", reason)
-            .with("placed_ms_ago", std::chrono::duration_cast<milliseconds>(now.uptime - run.placedAt).count());
+            .with("placed_ms_ago", elapsedBetween(run.placedAt, now.uptime).count());
         revokeStart(*leader, run, now);
         return;
     }
@@ -630,7 +630,7 @@
             .with("job", job.accepted.key)
             .with("task", run.position)
             .with("run", run.run)
-            .with("placed_ms_ago", std::chrono::duration_cast<milliseconds>(now.uptime - run.placedAt).count());
+            .with("placed_ms_ago", elapsedBetween(run.placedAt, now.uptime).count());
         revokeStart(*leader, run, now);
         return;
     }
--- a/packages/term/worker_table.cpp
+++ b/packages/term/worker_table.cpp
@@ -21,7 +21,7 @@
 
 worker_clock estimateClock(const worker &target, time_point now)
 {
-    const auto since = std::chrono::duration_cast<milliseconds>(now - target.clockReadAt);
+    const auto since = elapsedBetween(target.clockReadAt, now);
     return worker_clock(target.clock.value_or(worker_clock(0)).value + since.count());
 }
 
