--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -59,7 +59,7 @@
         return std::nullopt;
     }
     worker.leasesEndBy = std::max(worker.leasesEndBy, now.uptime + longestLeaseTime(leader));
-    const auto since = std::chrono::duration_cast<milliseconds>(now.uptime - worker.clockAt);
+    const auto since = elapsedBetween(worker.clockAt, now.uptime);
     return *worker.clock + since + leader.context.settings.limits.longestLease;
 }
 
@@ -81,6 +81,12 @@
     return {run.job->accepted.key, run.position, run.run};
 }
 
+/// The incarnation of its worker that the run was placed on.
+worker_incarnation placedOn(const placed_run &run)
+{
+    return run.job->progress.tasks[run.position.value].incarnation;
+}
+
 placed_run *findRun(cell_leader &leader, const run_name &name)
 {
     const auto job = leader.state.jobs.find(name.job);
@@ -293,7 +299,7 @@
         .with("run", run.run)
         .with("worker", run.worker->id)
         .with("reason", names[static_cast<std::size_t>(refusal)])
-        .with("placed_ms_ago", std::chrono::duration_cast<milliseconds>(now.uptime - run.placedAt).count());
+        .with("placed_ms_ago", elapsedBetween(run.placedAt, now.uptime).count());
     addCount(*leader->context.counters, cell_metrics::startsRefused);
     if (refusal == order_refusal::NoTicket) {
         expireTicket(run.job->steps[stepOf(*run.job, run.position)].advice, run.worker->slot);
@@ -325,9 +331,8 @@
     if (run == nullptr || run->begun || (report && stepDownIfFenced(*leader, report.value().refusal))) {
         return;
     }
-    const worker_incarnation placedOn = run->job->progress.tasks[run->position.value].incarnation;
     const bool sameIncarnation =
-        report && report.value().refusal == order_refusal::None && report.value().incarnation == placedOn;
+        report && report.value().refusal == order_refusal::None && report.value().incarnation == placedOn(*run);
     if (sameIncarnation && listsRun(report.value(), *run)) {
         return;
     }
@@ -466,8 +471,8 @@
 const char *revocationReason(const placed_run &run)
 {
     const cell_worker &worker = *run.worker;
-    const worker_incarnation placedOn = run.job->progress.tasks[run.position.value].incarnation;
-    if (placedOn != worker.current || (worker.listed && placedOn != worker.incarnation)) {
+    const worker_incarnation incarnation = placedOn(run);
+    if (incarnation != worker.current || (worker.listed && incarnation != worker.incarnation)) {
         // The new incarnation may be of another kind.
         return "restarted";
     }
@@ -558,7 +563,7 @@
         return;
     }
     const auto since = [&now](time_point earlier) {
-        return std::chrono::duration_cast<milliseconds>(now.uptime - earlier).count();
+        return elapsedBetween(earlier, now.uptime).count();
     };
     addCount(*leader.context.counters, cell_metrics::leasesExpired);
     log_event("worker_leases_lapsed", log_level::Warning)
@@ -616,7 +621,7 @@
             .with("run", run.run)
             .with("worker", worker.id)
             .with("worker_is", reason)
-            .with("placed_ms_ago", std::chrono::duration_cast<milliseconds>(now.uptime - run.placedAt).count());
+            .with("placed_ms_ago", elapsedBetween(run.placedAt, now.uptime).count());
         revokeStart(*leader, run, now);
         return;
     }
@@ -625,7 +630,7 @@
             .with("job", job.accepted.key)
             .with("task", run.position)
             .with("run", run.run)
-            .with("placed_ms_ago", std::chrono::duration_cast<milliseconds>(now.uptime - run.placedAt).count());
+            .with("placed_ms_ago", elapsedBetween(run.placedAt, now.uptime).count());
         revokeStart(*leader, run, now);
         return;
     }
