Place the job that has waited longest ahead of smaller ones under overload

Change: of each rank and priority, the job that has waited longest goes first, the others by remaining work.

--- a/packages/term/waiting_steps.cpp
+++ b/packages/term/waiting_steps.cpp
@@ -1,6 +1,7 @@
 #include "term/waiting_steps.h"
 
 #include <algorithm>
+#include <map>
 
 namespace sesamespar {
 
@@ -49,6 +50,9 @@
     if (isAboveShare(left) != isAboveShare(right)) {
         return isAboveShare(right);
     }
+    if (left.longestWait != right.longestWait) {
+        return left.longestWait;
+    }
     if (left.remainingWork != right.remainingWork) {
         return left.remainingWork < right.remainingWork;
     }
@@ -109,6 +113,22 @@
     return forecast.has_value();
 }
 
+/// Marks the job that has waited longest of each rank and priority, so that it precedes jobs with less remaining work.
+/// Otherwise a large gang never starts while enough smaller ones arrive.
+void markLongestWaits(std::vector<waiting_step> &waiting)
+{
+    std::map<std::pair<int, int>, waiting_step *> longest;
+    for (waiting_step &step : waiting) {
+        waiting_step *&first = longest[{rankOf(step), step.job->accepted.policy.priority}];
+        if (first == nullptr || arrivedEarlier(step, *first)) {
+            first = &step;
+        }
+    }
+    for (const auto &[group, step] : longest) {
+        step->longestWait = true;
+    }
+}
+
 } // namespace
 
 std::vector<waiting_step> collectWaiting(cell_state &state, utc_time now)
@@ -122,6 +142,9 @@
             next = state.waiting.erase(next);
         }
     }
+    if (state.policy.ties == tie_order::LeastWork) {
+        markLongestWaits(waiting);
+    }
     std::sort(
         waiting.begin(), waiting.end(), state.policy.order == work_order::DeadlineForecast ? isAhead : arrivedEarlier);
     return waiting;
--- a/packages/term/waiting_steps.h
+++ b/packages/term/waiting_steps.h
@@ -12,6 +12,7 @@
     std::uint32_t step = 0;
     deadline_forecast forecast;
     double remainingWork = 0; ///< In core-milliseconds, of the whole job; 0 unless the policy orders by it.
+    bool longestWait = false; ///< Under that policy: the longest wait of its rank and priority.
 
     [[nodiscard]] const job_step &declared() const
     {
--- a/test/correctness/cell_placement.cpp
+++ b/test/correctness/cell_placement.cpp
@@ -397,3 +397,32 @@
         CHECK(job->runs[0]->state == run_state::Running);
     }
 }
+
+TEST_CASE("under overload the job that has waited longest precedes smaller ones of its priority")
+{
+    // Guards against a large gang that never starts while enough smaller ones arrive: in a replay of uneven workers the
+    // largest tenth of the gangs was served less than half as often as all of them.
+    cell_state state;
+    state.policy.ties = tie_order::LeastWork;
+    addWorker(state, "w", 8);
+    const cell_job &large = addShape(state, {"large", 1, 2, 4, 4000, true, 900, 8});
+    const cell_job &medium = addShape(state, {"medium", 1, 1, 4, 4000, false, 500, 8});
+    const cell_job &small = addShape(state, {"small", 1, 1, 4, 1000, false, 100, 8});
+    placeWaiting(state, noAdvice, at(0));
+    CHECK(large.steps[0].placed == 2);
+    CHECK(medium.steps[0].placed + small.steps[0].placed == 0);
+}
+
+TEST_CASE("under overload the job with the least remaining work goes first among the others")
+{
+    // Guards against an order by latest starts, which under overload works on what is about to be late.
+    cell_state state;
+    state.policy.ties = tie_order::LeastWork;
+    addWorker(state, "w", 8);
+    addShape(state, {"longest", 1, 1, 4, 1000, false, 900, 8});
+    const cell_job &large = addShape(state, {"large", 1, 2, 4, 4000, false, 500, 8});
+    const cell_job &small = addShape(state, {"small", 1, 1, 4, 1000, false, 100, 8});
+    placeWaiting(state, noAdvice, at(0));
+    CHECK(large.steps[0].placed == 0);
+    CHECK(small.steps[0].placed == 1);
+}
