Count surplus over five seconds instead of single ones

Jobs arrive at random, and of an organisation with a weight of 2 or 3 a second one in 25 was the one too many of its second; it then waited behind all others. Change: a job is surplus if the five seconds up to its own already have as many jobs within the weight as it allows. Surplus jobs do not count, so that a steady excess is surplus in part.

--- a/packages/term/cell_state.h
+++ b/packages/term/cell_state.h
@@ -133,8 +133,6 @@
     std::vector<placed_run *> runs; ///< By position; null if nothing is placed.
     struct queue_history *history = nullptr; ///< Of the job's queue.
     struct organisation_usage *organisation = nullptr; ///< Null if the job belongs to none.
-    /// Number of jobs of its organisation that were accepted before it in the same second.
-    std::uint32_t acceptedBefore = 0;
     bool surplus = false; ///< Submitted beyond the weight of its organisation.
     waiting_hook waitingHook;
     bool cancelled = false; ///< The caller has cancelled the job.
@@ -174,7 +172,7 @@
     /// the leases of these runs have expired.
     resources unended;
     time_point unendedUntil;
-    std::map<std::int64_t, std::uint32_t> submitted; ///< Number of jobs by the second of their acceptance.
+    std::map<std::int64_t, std::uint32_t> submitted; ///< Jobs within the weight, by second of acceptance.
     /// Part of the limit that the pass in progress keeps for gangs that cannot start at present.
     resources kept;
     /// Step that has waited too long for the limit. Nothing else of the organisation starts in the part of the limit
--- a/packages/term/organisation_usage.cpp
+++ b/packages/term/organisation_usage.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t keptSeconds = 600;
 
 constexpr std::int64_t msPerSecond = 1000;
+/// Time over which an organisation may use its weight unevenly. Jobs arrive at random: over single seconds, one in 25
+/// of the jobs of an organisation at two fifths of its weight was surplus.
+constexpr std::int64_t surplusWindowSeconds = 5;
 
 /// Tasks that fit into what a component of a limit has left.
 std::int64_t fitsComponent(std::int64_t limit, std::int64_t used, std::int64_t need, std::int64_t wanted)
@@ -91,23 +94,35 @@
     }
 }
 
-/// Determines whether the job is beyond the weight of its organisation: at least as many jobs as the weight were
-/// accepted before it in the same second. With a weight below 1, one job a second is within it.
-void updateSurplus(cell_job &job)
+/// Determines whether the job is beyond the weight of its organisation: in the window that ends with its second, as
+/// many jobs within the weight as it allows were accepted before. With a weight below 1, one job a second is within it.
+bool isSurplus(const organisation_usage &usage, std::int64_t second)
 {
-    const double weight = job.organisation->weight;
-    job.surplus = weight > 0 && static_cast<double>(job.acceptedBefore) >= weight;
+    if (usage.weight <= 0) {
+        return false;
+    }
+    std::uint32_t before = 0;
+    for (auto entry = usage.submitted.upper_bound(second - surplusWindowSeconds);
+         entry != usage.submitted.end() && entry->first <= second;
+         ++entry) {
+        before += entry->second;
+    }
+    return before >= std::max(usage.weight, 1.0) * static_cast<double>(surplusWindowSeconds);
 }
 
-/// Counts a job among those of its second.
+/// Counts a job among those of its second, unless it is surplus.
 void countSubmission(cell_job &job)
 {
-    std::map<std::int64_t, std::uint32_t> &submitted = job.organisation->submitted;
-    job.acceptedBefore = submitted[job.accepted.acceptedAt.value / msPerSecond]++;
-    if (submitted.size() > keptSeconds) {
-        submitted.erase(submitted.begin());
+    organisation_usage &usage = *job.organisation;
+    const std::int64_t second = job.accepted.acceptedAt.value / msPerSecond;
+    job.surplus = isSurplus(usage, second);
+    if (job.surplus) {
+        return;
+    }
+    ++usage.submitted[second];
+    if (usage.submitted.size() > keptSeconds) {
+        usage.submitted.erase(usage.submitted.begin());
     }
-    updateSurplus(job);
 }
 
 /// Removes the organisations that are neither declared nor have jobs, so that names that come and go use no memory.
@@ -130,7 +145,9 @@
 
 void applyOrganisations(cell_state &state, const cell_configuration &configuration)
 {
+    std::map<organisation_id, double> weights;
     for (auto &[name, usage] : state.organisations) {
+        weights[name] = usage.weight;
         usage.declared = false;
         usage.weight = 0;
         usage.limit = {};
@@ -149,10 +166,11 @@
             .with("reserved_millicores", usage.reserved.processors);
     }
     removeUnused(state);
-    for (const auto &[key, job] : state.jobs) {
-        if (job->organisation != nullptr) {
-            updateSurplus(*job);
-        }
+    const bool reweighted = std::any_of(state.organisations.begin(), state.organisations.end(), [&](const auto &entry) {
+        return weights[entry.first] != entry.second.weight;
+    });
+    if (reweighted) {
+        rankSubmissions(state);
     }
 }
 
--- a/packages/term/organisation_usage.h
+++ b/packages/term/organisation_usage.h
@@ -9,11 +9,11 @@
 void applyOrganisations(cell_state &state, const cell_configuration &configuration);
 
 /// Assigns a new job to the use of its organisation and determines whether it is surplus: beyond the number of jobs
-/// per second that the weight allows. Addresses an organisation that submits several times its usual rate, whose jobs
-/// would otherwise delay those of all others.
+/// per second that the weight allows over a few seconds. Addresses an organisation that submits several times its usual
+/// rate, whose jobs would otherwise delay those of all others.
 void assignOrganisation(cell_state &state, cell_job &job);
 
-/// Counts the jobs of each second anew in the order of their acceptance. A new leader learns the stored jobs in the
+/// Determines anew, in the order of acceptance, which jobs are surplus. A new leader learns the stored jobs in the
 /// order of their keys, which says nothing about which of them came first.
 void rankSubmissions(cell_state &state);
 
