--- a/review/11/run.sh
+++ b/review/12/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Case 11: see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves
+# Case 12: see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves
 # the disruption out. Needs the build of the deploy file and review/build-3.sh. Takes about 45 s.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
--- a/review/standins-3/cell3.cpp
+++ b/review/standins-3/cell3.cpp
@@ -4,6 +4,7 @@
 //     cell3 CASE RECORD SEED
 //
 // TROUBLE=0 leaves the disruption out. Exits with 0 if the rules held, 1 if one was broken, 2 if it couldn't run.
+#include "fields3.h"
 #include "workers3.h"
 
 #include <fcntl.h>
@@ -24,6 +25,7 @@
 namespace {
 
 constexpr int visibleMs = 3000;
+constexpr int cancelMs = 3000;
 constexpr int finishMs = 14000;
 constexpr int observedMs = 3000;
 const std::string routeHost = "nony24.example";
@@ -147,6 +149,24 @@
         return true;
     }
 
+    /// The daemon that began the latest term, as the logs say.
+    daemon3 &leader()
+    {
+        daemon3 *latest = &daemons.front();
+        long long when = 0;
+        for (daemon3 &one : daemons) {
+            std::ifstream log(one.log);
+            for (std::string line; std::getline(log, line);) {
+                const long long at = std::atoll(line.c_str() + line.find('=') + 1);
+                if (line.find("event=term_begun") != std::string::npos && at > when) {
+                    when = at;
+                    latest = &one;
+                }
+            }
+        }
+        return *latest;
+    }
+
     std::optional<http_reply3> call(const std::string &method, const std::string &id, const std::string &body)
     {
         const daemon3 &one = daemons[nextDaemon++ % daemons.size()];
@@ -160,6 +180,13 @@
 
     /// Submits a job in a thread of its own, with the repetitions that requesters make.
     void submit(const std::vector<step3> &steps)
+    {
+        const auto [id, body] = describe(steps);
+        callers.emplace_back([this, id = id, body = body] { submitUntilAnswered(id, body); });
+    }
+
+    /// Makes a job; returns its id and the body of its request.
+    std::pair<std::string, std::string> describe(const std::vector<step3> &steps)
     {
         job3 job;
         char id[32];
@@ -188,7 +215,7 @@
             const std::lock_guard lock(mutex);
             jobs[job.id] = job;
         }
-        callers.emplace_back([this, id = job.id, body] { submitUntilAnswered(id, body); });
+        return {job.id, body};
     }
 
     void submitUntilAnswered(const std::string &id, const std::string &body)
@@ -223,19 +250,20 @@
             }
             const std::string state = stateOf(id);
             if (state != "completed") {
-                record.line("GET " + id + " -> " + state);
+                record.line(joined3({"GET ", id, " -> ", state}));
             }
             if (state == "none" || state == "410") {
-                broken.push_back("LOST " + id + " isn't known or gets no answer, " + state);
+                broken.push_back(joined3({"LOST ", id, " isn't known or gets no answer, ", state}));
             } else if (state == "failed" || state == "cancelled") {
-                broken.push_back("LOST " + id + " is shown as " + state + " without cause");
+                broken.push_back(joined3({"LOST ", id, " is shown as ", state, " without cause"}));
             } else if (state == "completed") {
                 for (std::size_t s = 0; s < job.steps.size(); ++s) {
                     const auto done = fleet.doneTasks(id);
                     for (int i = 0; i < job.steps[s].count; ++i) {
                         const std::string task = id + ".0." + std::to_string(s) + "." + std::to_string(i);
                         if (done.count(task) == 0) {
-                            broken.push_back("MIXED " + id + " is shown as completed, " + task + " hasn't ended done");
+                            broken.push_back(
+                                joined3({"MIXED ", id, " is shown as completed, ", task, " hasn't ended done"}));
                         }
                     }
                 }
@@ -255,10 +283,15 @@
         }
         for (const std::string &id : idle) {
             const std::string state = stateOf(id);
-            record.line("GET " + id + " -> " + state);
+            record.line(joined3({"GET ", id, " -> ", state}));
             if (state == "queued" || state == "running") {
-                broken.push_back("LOST " + id + " is " + state + ", had nothing running for 3 s, "
-                                 + std::to_string(finishMs / 1000) + " s after the end of the traffic");
+                broken.push_back(joined3({"LOST ",
+                                          id,
+                                          " is ",
+                                          state,
+                                          ", had nothing running for 3 s, ",
+                                          std::to_string(finishMs / 1000),
+                                          " s after the end of the traffic"}));
             }
         }
         const auto seen = fleet.violations();
@@ -323,7 +356,6 @@
     std::mt19937_64 random;
     std::vector<daemon3> daemons;
 
-private:
     void writeSettings(const daemon3 &one)
     {
         std::ofstream out(one.settings);
@@ -373,6 +405,73 @@
     return cell.judge();
 }
 
+/// The machine of the leader is 5.5 times as slow for 5 s at a time; meanwhile a worker crashes and starts again.
+bool playSlowLeader(cell3 &cell, bool trouble)
+{
+    constexpr int rounds = 5;
+    constexpr int calmMs = 2000;
+    constexpr int slowUntilMs = 7000;
+    constexpr int roundMs = 8000;
+    constexpr int runsMs = 50;
+    constexpr int stoppedMs = 225;
+    constexpr int downMs = 50;
+    for (int round = 0; round < rounds; ++round) {
+        const std::int64_t begun = steadyMs();
+        const daemon3 &slow = cell.leader();
+        std::thread slowing([&cell, &slow, begun, trouble] {
+            pause(calmMs);
+            cell.record.line("daemon " + slow.name + (trouble ? " is slow" : " goes on"));
+            while (trouble && steadyMs() < begun + slowUntilMs) {
+                kill(slow.pid, SIGSTOP);
+                pause(stoppedMs);
+                kill(slow.pid, SIGCONT);
+                pause(runsMs);
+            }
+        });
+        std::int64_t nextCrash = begun + calmMs + 500;
+        while (steadyMs() < begun + roundMs) {
+            if (trouble && steadyMs() >= nextCrash && steadyMs() < begun + slowUntilMs) {
+                nextCrash = steadyMs() + 700 + static_cast<std::int64_t>(cell.random() % 300);
+                cell.fleet.with([&](auto &workers) { cell.fleet.crash(*workers[0], downMs); });
+            }
+            cell.submit({{1, 1400, 2000, {}, false, 150}});
+            pause(50);
+        }
+        slowing.join();
+    }
+    return cell.judge();
+}
+
+/// The store carries out the write of a job late, without an answer; its requester leaves and cancels it.
+bool playLateWrite(cell3 &cell, bool trouble)
+{
+    for (int i = 0; i < 8; ++i) {
+        cell.submit({{1, 1000, 500, {}, false, 500}});
+        pause(250);
+    }
+    const auto [id, body] = cell.describe({{1, 1000, 500, {}, false, 500}});
+    if (trouble) {
+        cell.store.holdWrites(id, 4000, 9000);
+    }
+    cell.fleet.allowJob(id);
+    const auto submitted = cell.call("POST", id, body);
+    cell.record.line("POST " + id + " -> " + (submitted ? std::to_string(submitted->status) : "no response"));
+    for (int attempt = 0; attempt < 5; ++attempt) {
+        const auto reply = cell.call("DELETE", id, "");
+        cell.record.line("DELETE " + id + " -> " + (reply ? std::to_string(reply->status) : "no response"));
+        if (reply && (reply->status / 100 == 2 || reply->status == 410)) {
+            cell.fleet.cancelled(id, cancelMs);
+            break;
+        }
+        pause(300);
+    }
+    for (int i = 0; i < 40; ++i) {
+        cell.submit({{1, 1000, 500, {}, false, 500}});
+        pause(250);
+    }
+    return cell.judge();
+}
+
 /// Workers lose answers, hold orders up, crash and come back under their ids; daemons are killed and frozen.
 bool playMixture(cell3 &cell, bool trouble)
 {
@@ -451,7 +550,10 @@
         if (!cell->waitReady()) {
             throw std::runtime_error("the daemons did not become ready");
         }
-        const bool held = name == "lost-answer" ? playLostAnswer(*cell, trouble) : playMixture(*cell, trouble);
+        const bool held = name == "lost-answer" ? playLostAnswer(*cell, trouble)
+            : name == "slow-leader"             ? playSlowLeader(*cell, trouble)
+            : name == "late-write"              ? playLateWrite(*cell, trouble)
+                                                : playMixture(*cell, trouble);
         cell->record.line(held ? "held" : "broken");
         outcome = held ? 0 : 1;
     } catch (const std::exception &problem) {
--- a/review/standins-3/http3.cpp
+++ b/review/standins-3/http3.cpp
@@ -289,7 +289,7 @@
     if (connect(fd, reinterpret_cast<sockaddr *>(&at), sizeof at) == 0) {
         std::string text = method + " " + target + " HTTP/1.1\r\n";
         for (const auto &[name, value] : headers) {
-            text += name + ": " + value + "\r\n";
+            text.append(name).append(": ").append(value).append("\r\n");
         }
         text += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
         std::string buffer;
--- a/review/standins-3/store3.cpp
+++ b/review/standins-3/store3.cpp
@@ -1,6 +1,7 @@
 #include "store3.h"
 
-#include <rapidjson/document.h>
+#include "fields3.h"
+
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
@@ -127,6 +128,29 @@
     }
 }
 
+void platform_store3::holdWrites(const std::string &text, int forMs, int delayMs)
+{
+    const std::lock_guard lock(mutex);
+    heldText = text;
+    heldMs = delayMs;
+    heldUntil = std::chrono::steady_clock::now() + std::chrono::milliseconds(forMs);
+}
+
+bool platform_store3::isHeld(const http_request3 &request)
+{
+    if (heldText.empty() || std::chrono::steady_clock::now() > heldUntil) {
+        return false;
+    }
+    rapidjson::Document body;
+    body.Parse(request.body.data(), request.body.size());
+    for (const auto &row : list3(body, "puts")) {
+        if (text3(row, "key").find(heldText) != std::string::npos) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void platform_store3::set(const std::string &key, const std::string &value, std::uint64_t leaseNumber)
 {
     item &entry = items[key];
@@ -247,17 +271,13 @@
     if (!body.IsObject()) {
         return {400, "{}"};
     }
-    const rapidjson::Value none(rapidjson::kArrayType);
-    const auto listOf = [&](const char *name) -> const rapidjson::Value & {
-        return body.HasMember(name) && body[name].IsArray() ? body[name] : none;
-    };
     const auto foreign = [](const std::string &key) {
         return startsWith(key, "op/") || startsWith(key, "servers/");
     };
     bool holds = true;
-    for (const auto &row : listOf("expectedRev").GetArray()) {
-        const auto found = items.find(row["key"].GetString());
-        holds = holds && (found == items.end() ? 0 : found->second.revision) == row["revision"].GetUint64();
+    for (const auto &row : list3(body, "expectedRev")) {
+        const auto found = items.find(text3(row, "key"));
+        holds = holds && (found == items.end() ? 0 : found->second.revision) == count3(row, "revision");
     }
     rapidjson::StringBuffer buffer;
     json_writer3 writer(buffer);
@@ -265,13 +285,13 @@
     if (!holds) {
         writer.Key("items");
         writer.StartArray();
-        for (const auto &row : listOf("expectedRev").GetArray()) {
-            const auto found = items.find(row["key"].GetString());
+        for (const auto &row : list3(body, "expectedRev")) {
+            const auto found = items.find(text3(row, "key"));
             if (found != items.end()) {
                 writeItem(writer, found->first, found->second);
             } else {
                 writer.StartObject();
-                text(writer, "key", row["key"].GetString());
+                text(writer, "key", text3(row, "key"));
                 number(writer, "revision", 0);
                 writer.EndObject();
             }
@@ -280,28 +300,25 @@
         writer.EndObject();
         return {412, buffer.GetString()};
     }
-    for (const auto &row : listOf("puts").GetArray()) {
-        const std::uint64_t held = row.HasMember("lease") ? row["lease"].GetUint64() : 0;
-        if (foreign(row["key"].GetString())) {
+    for (const auto &row : list3(body, "puts")) {
+        const std::uint64_t held = count3(row, "lease");
+        if (foreign(text3(row, "key"))) {
             return {403, "{}"};
         }
         if (held != 0 && leases.count(held) == 0) {
             return {404, "{}"};
         }
     }
-    for (const auto &key : listOf("remove").GetArray()) {
+    for (const auto &key : list3(body, "remove")) {
         if (foreign(key.GetString())) {
             return {403, "{}"};
         }
     }
     ++revision;
-    for (const auto &row : listOf("puts").GetArray()) {
-        const rapidjson::Value &value = row["value"];
-        set(row["key"].GetString(),
-            decode64(std::string(value.GetString(), value.GetStringLength())),
-            row.HasMember("lease") ? row["lease"].GetUint64() : 0);
+    for (const auto &row : list3(body, "puts")) {
+        set(text3(row, "key"), decode64(text3(row, "value")), count3(row, "lease"));
     }
-    for (const auto &key : listOf("remove").GetArray()) {
+    for (const auto &key : list3(body, "remove")) {
         if (items.count(key.GetString()) != 0) {
             erase(key.GetString());
         }
@@ -323,7 +340,15 @@
         return range(request);
     }
     if (request.path == "/sesamespar/kv-txn") {
-        return transact(request);
+        if (!isHeld(request)) {
+            return transact(request);
+        }
+        std::thread([this, request, ms = heldMs] {
+            std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+            const std::lock_guard later(mutex);
+            transact(request);
+        }).detach();
+        return std::nullopt;
     }
     if (request.path == "/sesamespar/kv-key") {
         const auto found = items.find(queryOf(request, "key"));
@@ -341,8 +366,7 @@
     if (request.path == "/sesamespar/kv-lease") {
         rapidjson::Document body;
         body.Parse(request.body.data(), request.body.size());
-        const std::int64_t ttl = std::clamp<std::int64_t>(
-            body.IsObject() && body.HasMember("ttlMs") ? body["ttlMs"].GetInt64() : 1000, 1000, 600000);
+        const std::int64_t ttl = std::clamp<std::int64_t>(number3(body, "ttlMs"), 1000, 600000);
         leases[++nextLease] = {ttl, now + std::chrono::milliseconds(ttl)};
         return http_reply3{200, "{\"lease\":" + std::to_string(nextLease) + ",\"ttlMs\":" + std::to_string(ttl) + "}"};
     }
--- a/review/standins-3/store3.h
+++ b/review/standins-3/store3.h
@@ -23,6 +23,8 @@
     /// Writes by the operator and the workers, which don't go through the daemons' calls.
     void put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
+    /// For a time, transactions that write a key with the text in it get no answer and are carried out later.
+    void holdWrites(const std::string &text, int forMs, int delayMs);
 
 private:
     struct item {
@@ -45,6 +47,7 @@
     http_reply3 range(const http_request3 &request);
     http_reply3 watch(const http_request3 &request);
     http_reply3 transact(const http_request3 &request);
+    bool isHeld(const http_request3 &request);
     void endLeases();
     void set(const std::string &key, const std::string &value, std::uint64_t leaseNumber);
     void erase(const std::string &key);
@@ -56,6 +59,9 @@
     std::map<std::uint64_t, lease> leases;
     std::uint64_t revision = 100;
     std::uint64_t nextLease = 70000;
+    std::string heldText; ///< Empty unless a write is to be held up.
+    int heldMs = 0;
+    std::chrono::steady_clock::time_point heldUntil;
     bool ended = false;
     http_server3 server;
 };
--- a/review/standins-3/workers3.cpp
+++ b/review/standins-3/workers3.cpp
@@ -1,6 +1,7 @@
 #include "workers3.h"
 
-#include <rapidjson/document.h>
+#include "fields3.h"
+
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
@@ -117,6 +118,12 @@
     jobs[id].mayRun = true;
 }
 
+void worker_fleet3::cancelled(const std::string &id, int boundMs)
+{
+    const std::lock_guard lock(mutex);
+    jobs[id].noStartAfter = steadyMs() + boundMs;
+}
+
 std::vector<std::string> worker_fleet3::violations()
 {
     const std::lock_guard lock(mutex);
@@ -265,6 +272,8 @@
         }
         task_history &past = history[row.task];
         past.doneNoted = true;
+        record.line("worker " + worker.id + " forgets the end " + std::to_string(row.number) + " of " + row.task
+                    + ": it is polled with lastSeen " + std::to_string(seen));
         if (past.lastStart > row.endedAt) {
             violate("TWICE " + row.task + " started after its run had ended done");
         }
@@ -278,20 +287,20 @@
 {
     rapidjson::Document order;
     order.Parse(body.data(), body.size());
-    if (!order.IsObject() || !order.HasMember("task") || !order.HasMember("run")) {
+    if (!order.IsObject() || !has3(order, "task") || !has3(order, "run")) {
         return http_reply3{400, "{" + clockField(worker) + "}"};
     }
-    const std::string task = order["task"].GetString();
-    const std::uint64_t run = order["run"].GetUint64();
-    const std::uint64_t fence = order.HasMember("fencingToken") ? order["fencingToken"].GetUint64() : 0;
+    const std::string task = text3(order, "task");
+    const std::uint64_t run = count3(order, "run");
+    const std::uint64_t fence = count3(order, "fencingToken");
     if (fence < worker.fence) {
         return refusal(clockField(worker), "fence");
     }
     worker.fence = fence;
     const std::int64_t now = clockOf(worker);
     worker.lapsedAt = worker.deadline <= now ? steadyMs() : worker.lapsedAt;
-    if (order.HasMember("deadlineMs")) {
-        worker.deadline = std::max(worker.deadline, std::min(order["deadlineMs"].GetInt64(), now + maxHoldMs));
+    if (has3(order, "deadlineMs")) {
+        worker.deadline = std::max(worker.deadline, std::min(number3(order, "deadlineMs"), now + maxHoldMs));
     }
     const auto present = worker.runs.find(task);
     if (present != worker.runs.end() && present->second.run == run) {
@@ -307,12 +316,17 @@
         return refusal(clockField(worker), "late");
     }
     const auto job = jobs.find(jobOf(task));
-    const std::string spec = order.HasMember("spec") ? order["spec"].GetString() : "";
+    const std::string spec = text3(order, "spec");
     if (job == jobs.end() || static_cast<std::size_t>(stepOf(task)) >= job->second.steps.size()
         || job->second.spec != spec) {
         violate("UNASKED " + task + " on " + worker.id);
         return http_reply3{400, "{" + clockField(worker) + "}"};
     }
+    if (job->second.noStartAfter != 0 && steadyMs() > job->second.noStartAfter) {
+        violate("UNASKED " + task + " run " + std::to_string(run) + " started on " + worker.id + " "
+                + std::to_string(steadyMs() - job->second.noStartAfter)
+                + " ms later than cancel_ms after the acknowledgement of its cancelling");
+    }
     if (!job->second.mayRun) {
         violate("REFUSED " + task + " started though every attempt was rejected");
     }
@@ -331,9 +345,10 @@
     }
     for (const int earlier : step.after) {
         for (int i = 0; i < job->second.steps[static_cast<std::size_t>(earlier)].count; ++i) {
-            const std::string before = job->second.id + ".0." + std::to_string(earlier) + "." + std::to_string(i);
+            const std::string before =
+                joined3({job->second.id, ".0.", std::to_string(earlier), ".", std::to_string(i)});
             if (history[before].doneAt == 0) {
-                violate("ORDER " + task + " before " + before);
+                violate(joined3({"ORDER ", task, " before ", before}));
             }
         }
     }
@@ -351,8 +366,8 @@
     begun.run = run;
     begun.beganAt = steadyMs();
     begun.workMs = step.workMs;
-    if (order.HasMember("checkpoint")) {
-        begun.savedMs = std::atoll(order["checkpoint"].GetString());
+    if (has3(order, "checkpoint")) {
+        begun.savedMs = std::atoll(text3(order, "checkpoint").c_str());
     }
     worker.runs[task] = begun;
     record.line("worker " + worker.id + " starts " + task + " run " + std::to_string(run) + " fence "
@@ -382,12 +397,12 @@
             record.line("worker " + worker.id + " holds up a start");
             return std::nullopt;
         }
-        const auto reply = start(worker, request.body, false);
+        auto reply = start(worker, request.body, false);
         if (worker.crashAfterLook && worker.watchedTask.empty() && reply && reply->status == 200
             && steadyMs() - worker.holdSince < 300) {
             rapidjson::Document order;
             order.Parse(request.body.data(), request.body.size());
-            worker.watchedTask = order["task"].GetString();
+            worker.watchedTask = text3(order, "task");
             for (const auto &other : workers) {
                 other->crashAfterLook = false;
             }
@@ -405,14 +420,14 @@
     if (!order.IsObject()) {
         return http_reply3{400, "{" + clockField(worker) + "}"};
     }
-    const std::uint64_t fence = order.HasMember("fencingToken") ? order["fencingToken"].GetUint64() : 0;
+    const std::uint64_t fence = count3(order, "fencingToken");
     if (fence < worker.fence) {
         return refusal(clockField(worker), "fence");
     }
     worker.fence = fence;
     if (request.path == "/sesamespar/run-stop") {
-        const std::string task = order["task"].GetString();
-        const std::uint64_t run = order["run"].GetUint64();
+        const std::string task = text3(order, "task");
+        const std::uint64_t run = count3(order, "run");
         const auto present = worker.runs.find(task);
         if (present != worker.runs.end() && present->second.run <= run) {
             if (present->second.stopAt == 0) {
@@ -427,13 +442,13 @@
         return http_reply3{404, "{}"};
     }
     worker.lapsedAt = worker.deadline <= clockOf(worker) ? steadyMs() : worker.lapsedAt;
-    if (order.HasMember("deadlineMs")) {
+    if (has3(order, "deadlineMs")) {
         worker.deadline =
-            std::max(worker.deadline, std::min(order["deadlineMs"].GetInt64(), clockOf(worker) + maxHoldMs));
+            std::max(worker.deadline, std::min(number3(order, "deadlineMs"), clockOf(worker) + maxHoldMs));
     }
-    noteEnds(worker, order.HasMember("lastSeen") ? order["lastSeen"].GetUint64() : 0);
-    const bool look = !order.HasMember("waitMs") && !order.HasMember("deadlineMs");
-    const std::int64_t waitMs = order.HasMember("waitMs") ? order["waitMs"].GetInt64() : 0;
+    noteEnds(worker, count3(order, "lastSeen"));
+    const bool look = !has3(order, "waitMs") && !has3(order, "deadlineMs");
+    const std::int64_t waitMs = number3(order, "waitMs");
     worker.holdSince = waitMs > 0 ? steadyMs() : worker.holdSince;
     const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(waitMs);
     while (worker.ends.empty() && worker.up && worker.born == born && !finished
--- a/review/standins-3/workers3.h
+++ b/review/standins-3/workers3.h
@@ -49,7 +49,7 @@
     std::vector<step3> steps;
     bool acknowledged = false;
     bool mayRun = false; ///< Some attempt had neither a 429, 503 nor 404.
-    bool cancelled = false;
+    std::int64_t noStartAfter = 0; ///< 0 unless its cancelling was acknowledged.
     std::string state;
 };
 
@@ -109,6 +109,8 @@
 
     void addJob(const job3 &job);
     void allowJob(const std::string &id);
+    /// The cancelling of the job was acknowledged now: no task of it may start later than the bound from now.
+    void cancelled(const std::string &id, int boundMs);
     std::vector<std::string> violations();
     /// Applies a trouble, or reads, with the fleet locked.
     void with(const std::function<void(std::vector<std::unique_ptr<worker3>> &)> &use);
