--- a/review/standins-3/cell3.cpp
+++ b/review/standins-3/cell3.cpp
@@ -546,7 +546,10 @@
     std::unique_ptr<cell3> cell;
     int outcome = 2;
     try {
-        cell = std::make_unique<cell3>(argv[2], 3, 12, static_cast<std::uint64_t>(std::strtoull(argv[3], nullptr, 10)));
+        cell = std::make_unique<cell3>(argv[2],
+                                       name == "slow-leader" ? 7 : 3,
+                                       12,
+                                       static_cast<std::uint64_t>(std::strtoull(argv[3], nullptr, 10)));
         if (!cell->waitReady()) {
             throw std::runtime_error("the daemons did not become ready");
         }
