Run of a restarted worker: a look that lists the run answers its start

Cause: after a start without a reply, a look that listed the run left it marked as unanswered until a report confirmed it. If the worker restarted before that, no report of the new incarnation could list the run, and an unanswered run is exempt from the rule that a report without the run shows its end, so nothing ended it.

Change: such a look now counts as the reply to the start. A start reaches a worker at most once, so none is on its way any more, and the next report that omits the run ends it, whatever incarnation it is of.

The new case of error/cell_failures failed before the change with 8 of 20 delays and passes now.

--- a/packages/term/worker_sessions.cpp
+++ b/packages/term/worker_sessions.cpp
@@ -320,6 +320,20 @@
         || std::any_of(report.ended.begin(), report.ended.end(), isRun);
 }
 
+/// Handles the proof that the worker has begun a run: the reply to its start, or a look that lists it. From now on a
+/// report without the run shows that the run has ended, also one of a new incarnation.
+void confirmStart(cell_leader &leader, placed_run &run, const clock_reading &now)
+{
+    run.startUnknown = false;
+    markBegun(leader.state, run, now);
+    run.orderedAt = now.uptime;
+    if (run.state == run_state::Starting) {
+        run.state = run_state::Running;
+    } else if (run.state == run_state::Stopping) {
+        leader.state.stopsRequested = true;
+    }
+}
+
 /// Handles the look at a worker that precedes a repeated start. The report is not applied, because it may overtake or
 /// be overtaken by that of the worker's poll.
 void handleLook(const std::shared_ptr<cell_leader> &leader,
@@ -334,6 +348,7 @@
     const bool sameIncarnation =
         report && report.value().refusal == order_refusal::None && report.value().incarnation == placedOn(*run);
     if (sameIncarnation && listsRun(report.value(), *run)) {
+        confirmStart(*leader, *run, now);
         return;
     }
     if (sameIncarnation && run->state == run_state::Starting) {
@@ -433,14 +448,7 @@
         handleStartRefusal(leader, *run, reply.value().refusal, now);
         return;
     }
-    run->startUnknown = false;
-    markBegun(leader->state, *run, now);
-    run->orderedAt = now.uptime;
-    if (run->state == run_state::Starting) {
-        run->state = run_state::Running;
-    } else if (run->state == run_state::Stopping) {
-        leader->state.stopsRequested = true;
-    }
+    confirmStart(*leader, *run, now);
 }
 
 /// Where the payload of a job can be requested, if it is stored apart from the job.
--- a/test/error/cell_failures.cpp
+++ b/test/error/cell_failures.cpp
@@ -401,6 +401,31 @@
     CHECK(cell.violations.empty());
 }
 
+TEST_CASE("a run is placed again if its worker restarts after the look that listed it")
+{
+    // The leader took the run for one that the next report would list, and waited for ever if that report was of the
+    // new incarnation. The delay decides whether a poll lists the run before the restart.
+    for (std::int64_t delay = 0; delay < 1000; delay += 50) {
+        INFO("delay " << delay);
+        simulated_cell cell({});
+        runFor(cell, 2000 + delay);
+        cell.lostOrderReplyRate = 1;
+        submitJob(cell, 0, makeJobKey(1), makeOneStepJob(1, 1, "3000"));
+        REQUIRE(runUntil(cell, 300, [&] { return cell.jobs[makeJobKey(1)].starts == 1; }));
+        // The start is given up after 400 ms, and the look takes a few milliseconds.
+        runFor(cell, 450);
+        cell.lostOrderReplyRate = 0;
+        for (std::size_t number = 0; number < cell.workers.size(); ++number) {
+            if (!cell.workers[number]->running.empty()) {
+                restartWorker(cell, number);
+                break;
+            }
+        }
+        CHECK(runUntil(cell, 9000, [&] { return isCompleted(cell, 1); }));
+        CHECK(cell.violations.empty());
+    }
+}
+
 TEST_CASE("a run that its worker reports as running is not started elsewhere after the bound of its lease")
 {
     // No lease is extended during a long outage of the store, and a call that the leader does not count may have
