Cancel of a job that is not stored: claim its key before the answer

Cause: the answer was derived from a read that found no job, while a transaction of an earlier submission that got no reply could still store it.

Change: the cancel stores a record of a withdrawn job under the condition of every transaction that stores a job, that neither key of the job exists. Whichever the store carries out first decides. Without a reply to its claim the cancel is repeated or answered with 504. A withdrawn job is 410 for GET and DELETE and 503 for POST; the leader removes its record like those of finished jobs.

--- a/packages/process/job_intake.cpp
+++ b/packages/process/job_intake.cpp
@@ -22,6 +22,8 @@
 /// Time limit of a probe, which distinguishes a lost answer from a lost store, and the pause between two probes.
 constexpr milliseconds probeLimit{500};
 constexpr milliseconds probePause{200};
+/// Retry-After of a job that was cancelled before it was accepted. Its key stays unusable for minutes.
+constexpr milliseconds withdrawnRetryAfter{60000};
 
 using job_batch = std::list<incoming_job>;
 
@@ -104,11 +106,30 @@
     return job.mayBeStored || !intake.probing;
 }
 
-bool isStored(const std::vector<store_item> &current, const job_key &key)
+/// What the store has under the keys of a job.
+enum class stored_state {
+    Absent,
+    Stored, ///< The job was accepted; it may be final already.
+    Withdrawn, ///< The job was cancelled before it was accepted.
+};
+
+stored_state stateOf(const std::vector<store_item> &current, const job_key &key)
 {
-    return std::any_of(current.begin(), current.end(), [&key](const store_item &item) {
-        return item.revision.value != 0 && (item.key == cell_keys::job(key) || item.key == cell_keys::progress(key));
-    });
+    stored_state state = stored_state::Absent;
+    for (const store_item &item : current) {
+        if (item.revision.value == 0) {
+            continue;
+        }
+        if (item.key == cell_keys::progress(key)) {
+            const auto phase = decodePhase(item.value);
+            const bool withdrawn = phase && phase.value() == job_phase::Withdrawn;
+            return withdrawn ? stored_state::Withdrawn : stored_state::Stored;
+        }
+        if (item.key == cell_keys::job(key)) {
+            state = stored_state::Stored;
+        }
+    }
+    return state;
 }
 
 void requeueUnstored(job_intake &intake,
@@ -118,11 +139,22 @@
 {
     for (auto next = batch.begin(); next != batch.end();) {
         const auto job = next++;
-        if (isStored(current, job->job.key)) {
+        switch (stateOf(current, job->job.key)) {
+        case stored_state::Stored:
             // Stored by an earlier request of the caller or an earlier transaction of this daemon.
             answer(intake, *job, job_accepted{}, "known", cell_metrics::jobsKnown, now);
-        } else {
+            break;
+        case stored_state::Withdrawn:
+            answer(intake,
+                   *job,
+                   call_refused{"the job was cancelled before it was accepted", withdrawnRetryAfter},
+                   "withdrawn",
+                   cell_metrics::jobsRefused,
+                   now);
+            break;
+        case stored_state::Absent:
             intake.waiting.splice(intake.waiting.end(), batch, job);
+            break;
         }
     }
 }
--- a/packages/process/job_queries.cpp
+++ b/packages/process/job_queries.cpp
@@ -30,6 +30,7 @@
     job_key key;
     caller_done done;
     time_point arrivedAt; ///< In uptime.
+    utc_time arrivedUtc;
     time_point answerBy; ///< In uptime.
     bool cancelling = false;
     bool mayBeCancelled = false; ///< The outcome of a write of the cancellation is unknown.
@@ -43,6 +44,7 @@
 {
     auto query = std::make_shared<job_query>(context, key, std::move(done));
     query->arrivedAt = now.uptime;
+    query->arrivedUtc = now.utc;
     query->answerBy = now.uptime + timeToAnswer(timeout);
     return query;
 }
@@ -131,6 +133,10 @@
         finish(*query, outcome_unknown{phase.error().message}, "malformed");
         return;
     }
+    if (phase.value() == job_phase::Withdrawn) {
+        finish(*query, no_such_job{}, "withdrawn");
+        return;
+    }
     finish(*query, job_status{phase.value()}, "known");
 }
 
@@ -154,11 +160,53 @@
     }
 }
 
+void onWithdrawReply(const query_ptr &query, const result<store_commit> &commit, const clock_reading &now)
+{
+    if (!commit) {
+        query->mayBeCancelled = query->mayBeCancelled || mayHaveApplied(commit.error());
+        retryOrAnswer(query, commit.error(), readBeforeCancel, now);
+        return;
+    }
+    const std::vector<store_item> &current = commit.value().current;
+    const bool stored =
+        !commit.value().applied && std::any_of(current.begin(), current.end(), [&](const store_item &item) {
+            return item.key == cell_keys::job(query->key) && item.revision.value != 0;
+        });
+    if (stored) {
+        readBeforeCancel(query);
+    } else {
+        // Either withdrawn, now or earlier, or final: such jobs can no longer be cancelled.
+        finish(*query, no_such_job{}, commit.value().applied ? "withdrawn" : "no_such_job");
+    }
+}
+
+/// Keeps a job that is not stored from being stored later: a write of an earlier submission that got no reply may still
+/// be carried out. The stored cancellation lets the leader know of the record, which it removes like that of a final
+/// job.
+void withdrawJob(const query_ptr &query)
+{
+    job_progress withdrawn;
+    withdrawn.phase = job_phase::Withdrawn;
+    withdrawn.ended = query->arrivedUtc;
+    store_transaction transaction;
+    transaction.conditions.push_back({cell_keys::job(query->key), store_revision(0)});
+    transaction.conditions.push_back({cell_keys::progress(query->key), store_revision(0)});
+    transaction.writes.push_back({cell_keys::progress(query->key), encodeProgress(withdrawn), {}});
+    transaction.writes.push_back({cell_keys::cancel(query->key), "{}", {}});
+    query->context.store.commit(
+        transaction,
+        callLimit,
+        timedOnControlThread(query->context,
+                             cell_metrics::cancelTime,
+                             [query](const result<store_commit> &commit, const clock_reading &now) {
+                                 onWithdrawReply(query, commit, now);
+                             }));
+}
+
 void onCancelRead(const query_ptr &query, const store_item &item)
 {
     if (item.revision.value == 0) {
-        // Final jobs can no longer be cancelled, and unknown jobs never run.
-        finish(*query, no_such_job{}, "no_such_job");
+        withdrawJob(query);
         return;
     }
     store_transaction transaction;
--- a/packages/process/job_queries.h
+++ b/packages/process/job_queries.h
@@ -10,7 +10,8 @@
 void queryJob(
     cell_context &context, const job_key &key, milliseconds timeout, caller_done done, const clock_reading &now);
 
-/// Stores the cancellation of a job. Answers no_such_job if the job is final or unknown.
+/// Stores the cancellation of a job. Answers no_such_job if the job is final or not stored; a job that is not stored
+/// can't be stored afterwards, until its record is removed like that of a final job.
 void requestCancel(
     cell_context &context, const job_key &key, milliseconds timeout, caller_done done, const clock_reading &now);
 
--- a/packages/request/job_progress.h
+++ b/packages/request/job_progress.h
@@ -21,9 +21,10 @@
     Completed, ///< All tasks are done.
     Failed, ///< A task has used up the attempts that its queue allows.
     Cancelled,
+    Withdrawn, ///< Cancelled before it was accepted; callers are told that there is no such job.
 };
 
-/// Name of a phase in the store, in logs and to callers: queued, running, completed, failed, cancelled.
+/// Name of a phase in the store, in logs and to callers: queued, running, completed, failed, cancelled, withdrawn.
 const char *phaseName(job_phase phase);
 
 /// Inverse of phaseName(). Returns nothing for any other name.
--- a/packages/term/cell_leader.cpp
+++ b/packages/term/cell_leader.cpp
@@ -165,7 +165,8 @@
         return std::nullopt;
     }
     if (const auto done = leader.finished.find(key); done != leader.finished.end()) {
-        return done->second.phase;
+        // A withdrawn job was never accepted, so callers are told by the store that it doesn't exist.
+        return done->second.phase == job_phase::Withdrawn ? std::nullopt : std::optional(done->second.phase);
     }
     const auto found = leader.state.jobs.find(key);
     if (found == leader.state.jobs.end()) {
--- a/packages/term/cell_leader.h
+++ b/packages/term/cell_leader.h
@@ -61,6 +61,7 @@
 struct finished_job {
     job_phase phase = job_phase::Completed;
     utc_time ended;
+    bool cancelStored = false; ///< The store also keeps a cancellation, for example of a withdrawn job.
 };
 
 /// Placement passes since the last report.
--- a/packages/term/cell_recovery.cpp
+++ b/packages/term/cell_recovery.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds retryPause{100};
 /// Time for which changes of jobs are collected, so that a burst of arrivals costs one call.
 constexpr milliseconds jobWatchPause{25};
-/// Maximum number of finished jobs whose progress is removed in one transaction, which may have 32 entries.
+/// Maximum number of keys of finished jobs that are removed in one transaction, which may have 32 entries.
 constexpr std::size_t sweepBatch = 30;
 /// Maximum number of finished jobs that are removed after one listing of the jobs, one transaction after the other.
 /// With listings each 10 s these are 300 a second, twice the jobs that a cell of 350 workers finishes.
@@ -92,6 +92,9 @@
 {
     const auto found = leader->state.jobs.find(key);
     if (found == leader->state.jobs.end()) {
+        // A withdrawn job, or one that became final before its cancellation was stored.
+        const auto finished = leader->finished.try_emplace(key, finished_job{job_phase::Withdrawn, now.utc}).first;
+        finished->second.cancelStored = true;
         return;
     }
     log_event("job_cancelled").with("job", key);
@@ -140,15 +143,20 @@
                     const std::shared_ptr<const expired_jobs> &expired,
                     std::size_t first)
 {
-    const std::size_t end = std::min(first + sweepBatch, expired->size());
-    if (first == end) {
+    if (first == expired->size()) {
         log_event("finished_jobs_removed").with("jobs", expired->size());
         return;
     }
     store_transaction transaction;
     transaction.conditions.push_back({cell_keys::term, store_revision(leader->fence.value)});
-    for (std::size_t index = first; index < end; ++index) {
-        transaction.removals.push_back(cell_keys::progress((*expired)[index]));
+    std::size_t end = first;
+    for (; end < expired->size() && transaction.removals.size() + 2 <= sweepBatch; ++end) {
+        const job_key &key = (*expired)[end];
+        transaction.removals.push_back(cell_keys::progress(key));
+        if (const auto entry = leader->finished.find(key);
+            entry != leader->finished.end() && entry->second.cancelStored) {
+            transaction.removals.push_back(cell_keys::cancel(key));
+        }
     }
     leader->context.store.commit(
         transaction,
--- a/test/correctness/finished_jobs.cpp
+++ b/test/correctness/finished_jobs.cpp
@@ -21,13 +21,19 @@
     return count;
 }
 
-/// Runs many short jobs in a cell that keeps finished jobs for one second.
-void finishJobs(simulated_cell &cell)
+/// Starts a cell that keeps finished jobs for one second.
+void startForgetfulCell(simulated_cell &cell)
 {
     for (const auto &entry : cell.daemons) {
         entry->context->settings.limits.keepFinished = std::chrono::seconds(1);
     }
     runFor(cell, 2000);
+}
+
+/// Runs many short jobs in a cell that keeps finished jobs for one second.
+void finishJobs(simulated_cell &cell)
+{
+    startForgetfulCell(cell);
     for (std::uint64_t number = 1; number <= jobs; ++number) {
         submitJob(cell, number % cell.daemons.size(), makeJobKey(number), makeOneStepJob(1, 1, "50"));
         runFor(cell, 10);
@@ -59,3 +65,31 @@
     cell.lostStoreReplyRate = 0;
     CHECK(runUntil(cell, 2 * sweepTime, [&] { return countProgress(cell) == 0; }));
 }
+
+TEST_CASE("the record of a withdrawn job is removed, and its key can be used again")
+{
+    // Otherwise cancels of unknown jobs would fill the store.
+    simulated_cell cell({});
+    startForgetfulCell(cell);
+    const std::size_t leader = *leaderOf(cell);
+    const std::size_t other = (leader + 1) % cell.daemons.size();
+    bool answered = false;
+    callDaemon(cell, other, makeJobKey(1), cancel_call{}, [&](const caller_answer &) { answered = true; });
+    REQUIRE(runUntil(cell, 1000, [&] { return answered; }));
+    REQUIRE(countProgress(cell) == 1);
+    SECTION("by the leader of that time")
+    {
+    }
+    SECTION("by the next leader")
+    {
+        killDaemon(cell, leader);
+    }
+    CHECK(runUntil(cell, 2 * sweepTime, [&] {
+        return std::none_of(cell.items.begin(), cell.items.end(), [](const auto &entry) {
+            return entry.first.starts_with(cell_keys::progressPrefix) || entry.first.starts_with(cell_keys::jobPrefix);
+        });
+    }));
+    submitJob(cell, other, makeJobKey(1), makeOneStepJob(1, 1, "50"));
+    CHECK(runUntil(cell, 4000, [&] { return storedPhase(cell, makeJobKey(1)) == job_phase::Completed; }));
+    CHECK(cell.violations.empty());
+}
--- a/test/error/cell_failures.cpp
+++ b/test/error/cell_failures.cpp
@@ -138,6 +138,38 @@
     CHECK(cell.violations.empty());
 }
 
+TEST_CASE("a job that is stored late does not run after a cancel was told that it does not exist")
+{
+    // The cancel found no job in the store, where the write of the submission was carried out seconds later.
+    simulated_cell cell({});
+    const job_key key = makeJobKey(1);
+    runFor(cell, 2000);
+    const std::size_t killed = (*leaderOf(cell) + 1) % 3;
+    const std::size_t asked = (*leaderOf(cell) + 2) % 3;
+    cell.lateStoreWriteRate = 1;
+    submitJob(cell, killed, key, makeOneStepJob(1, 1, "400"));
+    runFor(cell, 50);
+    killDaemon(cell, killed);
+    cell.lateStoreWriteRate = 0;
+    const auto call = [&](auto kind) {
+        std::optional<caller_answer> answer;
+        callDaemon(cell, asked, key, kind, [&](const caller_answer &given) { answer = given; });
+        REQUIRE(runUntil(cell, 1000, [&] { return answer.has_value(); }));
+        return *answer;
+    };
+    CHECK(std::holds_alternative<no_such_job>(call(cancel_call{})));
+    runFor(cell, 12000);
+    CHECK(cell.jobs[key].starts == 0);
+    CHECK(std::holds_alternative<no_such_job>(call(status_call{})));
+    submitJob(cell, asked, key, makeOneStepJob(1, 1, "400"));
+    runFor(cell, 3000);
+    REQUIRE(cell.jobs[key].answer);
+    CHECK(cell.jobs[key].onlyRefused);
+    CHECK(cell.jobs[key].starts == 0);
+    CHECK(std::holds_alternative<no_such_job>(call(cancel_call{})));
+    CHECK(cell.violations.empty());
+}
+
 TEST_CASE("a cancellation is not reported as refused after a malformed response of the store")
 {
     // The store applied the transaction and its response could not be read; the caller was told that nothing was done.
