--- a/test/correctness/cell_liveness.cpp
+++ b/test/correctness/cell_liveness.cpp
@@ -34,3 +34,20 @@
         }
     }
 }
+
+TEST_CASE("a backlog that an overload leaves starts in time once less than half of the cell is in use")
+{
+    // Regression: requests for a few tickets each, and machines that were kept for short requests after the last of
+    // these, left no machine to request the tickets of the gangs that had waited longest.
+    constexpr std::int64_t boundMs = 3000; // After that long the users count such a job as lost.
+    for (replay_load load : {grownPaguriLoad(), grownPompamassettoLoad()}) {
+        load.lengthMs = 70000;
+        load.bursts = {{"", 0, load.lengthMs, 1.1}};
+        for (const std::uint64_t seed : {3, 4}) {
+            for (const replay_figures &figures : replayLoad(load, cell_policy(), seed)) {
+                INFO(load.name << ", seed " << seed << ", " << figures.queue);
+                CHECK(figures.longestFinalIdleWaitMs <= boundMs);
+            }
+        }
+    }
+}
--- a/test/performance/cell_replay.cpp
+++ b/test/performance/cell_replay.cpp
@@ -50,6 +50,7 @@
         suitable; ///< Workers that may run the job; empty before its first wait.
     std::optional<std::int64_t> fittingSinceMs; ///< Since when the job could start; empty if it cannot or has started.
     std::int64_t longestIdleWaitMs = 0;
+    std::int64_t longestFinalIdleWaitMs = 0;
     std::optional<std::int64_t> completedMs;
     double gangSpeed = 1; ///< In the current pass: speed of the slowest worker of its runs.
 };
@@ -456,7 +457,11 @@
             continue;
         }
         watched.fittingSinceMs = watched.fittingSinceMs.value_or(world.nowMs);
-        watched.longestIdleWaitMs = std::max(watched.longestIdleWaitMs, world.nowMs - *watched.fittingSinceMs);
+        const std::int64_t waitedMs = world.nowMs - *watched.fittingSinceMs;
+        watched.longestIdleWaitMs = std::max(watched.longestIdleWaitMs, waitedMs);
+        if (world.nowMs >= world.load.lengthMs) {
+            watched.longestFinalIdleWaitMs = std::max(watched.longestFinalIdleWaitMs, waitedMs);
+        }
     }
 }
 
@@ -571,6 +576,7 @@
                 continue;
             }
             figures.longestIdleWaitMs = std::max(figures.longestIdleWaitMs, job.longestIdleWaitMs);
+            figures.longestFinalIdleWaitMs = std::max(figures.longestFinalIdleWaitMs, job.longestFinalIdleWaitMs);
             if (job.alwaysFails) {
                 continue;
             }
--- a/test/performance/cell_replay.h
+++ b/test/performance/cell_replay.h
@@ -89,6 +89,7 @@
     /// Longest time in which a job had no run although it fitted twice over on its suitable workers and less than half
     /// of the cell was in use.
     std::int64_t longestIdleWaitMs = 0;
+    std::int64_t longestFinalIdleWaitMs = 0; ///< The same, of the waits that last beyond the end of the arrivals.
 };
 
 /// Cost of a placement pass.
