Long advice requests: use the machines that short ones do not need

Cause: two fifths of the daemons that call the advisor were kept for short requests also when there were none.

Change: the limit for long requests follows the recent peak of short ones, with a time constant of 2.5 s, between six tenths of the daemons, as before, and nine tenths. A new leader starts with six tenths until it has sent a request.

The new case of correctness/cell_advice fails with a fixed share of six tenths in four of its eight rows.

--- a/packages/term/advice_dispatch.cpp
+++ b/packages/term/advice_dispatch.cpp
@@ -32,9 +32,6 @@
 constexpr milliseconds adviceRetryPause{100};
 /// A daemon with a smaller backlog than this gets the next request, so that the advisor is not idle in between.
 constexpr double shortBacklogMs = 15;
-/// Share of the daemons that may have a long request in progress, in tenths; the others stay free for short ones.
-constexpr std::size_t longShareTenths = 6;
-constexpr std::size_t tenths = 10;
 
 /// Adds what is known of the advisor's time for a request to its entry.
 void estimateTime(const cell_leader &leader, open_advice_request &open)
@@ -59,6 +56,15 @@
     return proxy.backlogMs + (proxy.at.value.empty() ? shortBacklogMs : 0);
 }
 
+/// Number of requests in progress that are long, or that are short.
+std::size_t countRequests(const cell_leader &leader, bool isLong)
+{
+    return static_cast<std::size_t>(
+        std::count_if(leader.adviceRequests.begin(), leader.adviceRequests.end(), [isLong](const auto &entry) {
+            return entry.second.isLong == isLong;
+        }));
+}
+
 bool wasTried(const open_advice_request &open, const daemon_id &proxy)
 {
     return std::find(open.tried.begin(), open.tried.end(), proxy) != open.tried.end();
@@ -259,12 +265,9 @@
             capacity.free += proxy.backlogMs < shortBacklogMs ? 1 : 0;
         }
     }
-    const auto longOpen = static_cast<std::size_t>(
-        std::count_if(leader.adviceRequests.begin(), leader.adviceRequests.end(), [](const auto &entry) {
-            return entry.second.isLong;
-        }));
+    const std::size_t longOpen = countRequests(leader, true);
     capacity.machines = usable;
-    const std::size_t longLimit = std::max<std::size_t>(1, usable * longShareTenths / tenths);
+    const std::size_t longLimit = longRequestLimit(usable, leader.shortRequests, now.uptime);
     capacity.freeForLong = std::min(capacity.free, longLimit - std::min(longLimit, longOpen));
     return capacity;
 }
@@ -277,6 +280,7 @@
     const advice_request_number number(++leader->lastAdviceRequest.value);
     const auto entry = leader->adviceRequests.emplace(number, std::move(open)).first;
     sendRound(*leader, number, entry->second, 1, now);
+    recordShortRequests(leader->shortRequests, countRequests(*leader, false), now.uptime);
 }
 
 void handleProxyResponse(cell_leader &leader, const advice_proxy_response &response, const clock_reading &now)
--- a/packages/term/cell_leader.h
+++ b/packages/term/cell_leader.h
@@ -8,6 +8,7 @@
 #include "connection/store_mirror.h"
 #include "request/cell_load.h"
 #include "term/cell_state.h"
+#include "term/long_request_limit.h"
 #include "term/worker_dispatch.h"
 #include "term/worker_reports.h"
 
@@ -105,6 +106,7 @@
     std::map<advice_request_number, open_advice_request> adviceRequests;
     std::map<correlation_id, advice_attempt> adviceAttempts;
     advice_request_number lastAdviceRequest;
+    short_request_use shortRequests; ///< Limits the long requests; see long_request_limit.h.
 
     cell_load load;
     bool loadWriting = false;
--- a/test/correctness/cell_advice.cpp
+++ b/test/correctness/cell_advice.cpp
@@ -3,6 +3,7 @@
 // not.
 #include "term/advice_selection.h"
 #include "term/job_placement.h"
+#include "term/long_request_limit.h"
 #include "term/run_lifecycle.h"
 #include "term/step_advice.h"
 #include "term/waiting_steps.h"
@@ -664,3 +665,31 @@
     REQUIRE(renewal.adviceRequests.size() == 1);
     CHECK(renewal.adviceRequests[0].workers.size() == maxAdviceWorkers);
 }
+
+TEST_CASE("long requests use the machines that short ones have not needed lately")
+{
+    // With a fixed share, two fifths of the machines were idle while only gangs with long requests waited.
+    struct load_case {
+        const char *name;
+        std::size_t machines;
+        std::size_t shortRequests; ///< In progress until 0 ms, none afterwards.
+        std::int64_t askedAtMs;
+        std::size_t limit;
+    };
+    const load_case cases[] = {{"a steady load of short requests", 32, 9, 0, 19},
+                               {"shortly after that load", 32, 9, 500, 20},
+                               {"some seconds after that load", 32, 9, 10000, 28},
+                               {"no short requests", 32, 0, 0, 28},
+                               {"a small cell with a few short requests", 7, 2, 0, 4},
+                               {"a small cell without short requests", 7, 0, 0, 6},
+                               {"more short requests than machines", 3, 9, 0, 1},
+                               {"a single machine", 1, 0, 0, 1}};
+    for (const load_case &tried : cases) {
+        INFO(tried.name);
+        short_request_use use;
+        recordShortRequests(use, tried.shortRequests, at(0).uptime);
+        CHECK(longRequestLimit(tried.machines, use, at(tried.askedAtMs).uptime) == tried.limit);
+    }
+    // A new leader does not know the load yet.
+    CHECK(longRequestLimit(32, {}, at(0).uptime) == 19);
+}
--- a/test/performance/cell_replay.cpp
+++ b/test/performance/cell_replay.cpp
@@ -2,6 +2,7 @@
 
 #include "term/advice_selection.h"
 #include "term/job_placement.h"
+#include "term/long_request_limit.h"
 #include "term/run_lifecycle.h"
 #include "term/sustained_speed.h"
 #include "term/worker_speed.h"
@@ -50,7 +51,7 @@
         suitable; ///< Workers that may run the job; empty before its first wait.
     std::optional<std::int64_t> fittingSinceMs; ///< Since when the job could start; empty if it cannot or has started.
     std::int64_t longestIdleWaitMs = 0;
-    std::int64_t longestFinalIdleWaitMs = 0;
+    std::int64_t longestFinalIdleWaitMs = 0; ///< Of the waits that last beyond the end of the arrivals.
     std::optional<std::int64_t> completedMs;
     double gangSpeed = 1; ///< In the current pass: speed of the slowest worker of its runs.
 };
@@ -80,6 +81,7 @@
     std::vector<replay_run> runs; ///< In the order of their begin.
     std::vector<worker_set> faulty; ///< By fault of the load: its workers.
     std::vector<replay_advice_request> adviceRequests;
+    short_request_use shortRequests;
     bool uneven = false; ///< The workers were considered uneven at some time.
     std::int64_t nowMs = 0;
 };
@@ -465,13 +467,19 @@
     }
 }
 
-advice_capacity freeAdvisors(const replay &world)
+std::size_t countRequests(const replay &world, bool isLong)
 {
-    const std::size_t usedLong = static_cast<std::size_t>(
-        std::count_if(world.adviceRequests.begin(), world.adviceRequests.end(), [](const replay_advice_request &open) {
-            return open.isLong;
+    return static_cast<std::size_t>(std::count_if(
+        world.adviceRequests.begin(), world.adviceRequests.end(), [isLong](const replay_advice_request &open) {
+            return open.isLong == isLong;
         }));
-    const std::size_t longLimit = std::max<std::size_t>(1, world.load.advisors * 6 / 10);
+}
+
+advice_capacity freeAdvisors(const replay &world)
+{
+    const std::size_t usedLong = countRequests(world, true);
+    const std::size_t longLimit =
+        longRequestLimit(world.load.advisors, world.shortRequests, clockOf(world.nowMs).uptime);
     advice_capacity capacity;
     capacity.free = world.load.advisors - std::min(world.load.advisors, world.adviceRequests.size());
     capacity.freeForLong = std::min(capacity.free, longLimit - std::min(longLimit, usedLong));
@@ -515,6 +523,7 @@
                                         world.nowMs + static_cast<std::int64_t>(took.count()) + 2,
                                         takesLong(*job.accepted.policy.advice)});
     }
+    recordShortRequests(world.shortRequests, countRequests(world, false), clockOf(world.nowMs).uptime);
 }
 
 /// Takes the place of the store of a cell: marks all changes as stored and removes final jobs.
@@ -599,7 +608,7 @@
 std::vector<replay_figures>
 replayLoad(const replay_load &load, const cell_policy &policy, std::uint64_t seed, pass_meter *meter)
 {
-    replay world{load, std::mt19937_64(seed), {}, {}, {}, {}, {}, {}, false, 0};
+    replay world{load, std::mt19937_64(seed), {}, {}, {}, {}, {}, {}, {}, false, 0};
     world.state.policy = policy;
     if (load.waitingJobs == 0) {
         drawArrivals(world);
