--- a/test/correctness/cell_advice.cpp
+++ b/test/correctness/cell_advice.cpp
@@ -643,7 +643,7 @@
     }
     const placement_outcome renewal = placeWaiting(state, ample, at(0));
     REQUIRE(renewal.adviceRequests.size() == 1);
-    CHECK(renewal.adviceRequests[0].workers.size() == 2 * width);
+    CHECK(renewal.adviceRequests[0].workers.size() == std::size_t{2} * width);
     addUnadvised(state, "urgent", makeStep(width / 2, 16), 0);
     CHECK(placeWaiting(state, ample, at(500)).adviceRequests.empty());
     applyAdvice(state, renewal.adviceRequests[0], suitableAll(renewal.adviceRequests[0]), at(900).uptime);
