--- a/packages/term/job_placement.cpp
+++ b/packages/term/job_placement.cpp
@@ -244,16 +244,6 @@
     return count;
 }
 
-/// Number of candidates from the front for which a gang requests tickets: those on which its tasks fit, and others on
-/// which they fit once more, as far as that takes no further request. Steps that come first may take some of the places
-/// before the response arrives, and a further request costs all of its fixed time.
-std::size_t countWithSpare(const std::vector<candidate> &candidates, std::size_t wanted)
-{
-    const std::size_t needed = countCandidates(candidates, wanted);
-    const std::size_t requests = (needed + maxAdviceWorkers - 1) / maxAdviceWorkers;
-    return std::min(countCandidates(candidates, advisedFitsPerTask * wanted), requests * maxAdviceWorkers);
-}
-
 /// Requests new tickets for workers from the front of the candidates until `wanted` tasks fit on them. For a gang,
 /// tickets that would expire before the response can be used are renewed as well, since all members need valid tickets
 /// at the same time.
@@ -263,8 +253,7 @@
                     std::size_t wanted)
 {
     const advice_timing &timing = *waiting.job->accepted.policy.advice;
-    const std::size_t count =
-        waiting.declared().gang ? countWithSpare(candidates, wanted) : countCandidates(candidates, wanted);
+    const std::size_t count = countCandidates(candidates, wanted);
     const auto responseTime =
         std::chrono::duration_cast<milliseconds>(adviceTime(timing, std::min(count, maxAdviceWorkers)));
     const time_point neededUntil = pass.now.uptime + responseTime + ticketMargin(pass.state, timing.valid);
