--- a/packages/term/long_request_limit.cpp
+++ b/packages/term/long_request_limit.cpp
@@ -12,8 +12,6 @@
 constexpr std::size_t leastShareTenths = 6;
 constexpr std::size_t mostShareTenths = 9;
 constexpr std::size_t tenths = 10;
-/// Number of machines that are kept for short requests, as a multiple of the recent peak.
-constexpr double keptPerPeak = 1.5;
 /// Time constant of the decay of the peak. A long request takes up to 1.7 s, so the limit follows the end of a load
 /// within about two of them.
 constexpr std::chrono::duration<double> peakDecay{2.5};
@@ -39,7 +37,7 @@
         return least;
     }
     const std::size_t most = std::max(least, machines * mostShareTenths / tenths);
-    const auto kept = static_cast<std::size_t>(std::ceil(keptPerPeak * decayedPeak(use, uptime)));
+    const auto kept = static_cast<std::size_t>(std::ceil(decayedPeak(use, uptime)));
     return std::clamp(machines - std::min(machines, kept), least, most);
 }
 
--- a/test/correctness/cell_liveness.cpp
+++ b/test/correctness/cell_liveness.cpp
@@ -37,8 +37,8 @@
 
 TEST_CASE("a backlog that an overload leaves starts in time once less than half of the cell is in use")
 {
-    // Regression: machines that were kept for short requests after the last of these were missing for the tickets of the
-    // gangs that had waited longest, so that these were idle in a cell that was mostly free.
+    // Regression: machines that were kept for short requests after the last of these were missing for the tickets of
+    // the gangs that had waited longest, so that these were idle in a cell that was mostly free.
     constexpr std::int64_t boundMs = 3000; // After that long the users count such a job as lost.
     for (replay_load load : {grownPaguriLoad(), grownPompamassettoLoad()}) {
         load.lengthMs = 70000;
