--- a/test/correctness/finished_jobs.cpp
+++ b/test/correctness/finished_jobs.cpp
@@ -21,8 +21,8 @@
     return count;
 }
 
-/// Starts a cell that keeps finished jobs for one second.
-void startForgetfulCell(simulated_cell &cell)
+/// Starts the cell with a retention of finished jobs of one second.
+void startWithShortRetention(simulated_cell &cell)
 {
     for (const auto &entry : cell.daemons) {
         entry->context->settings.limits.keepFinished = std::chrono::seconds(1);
@@ -33,7 +33,7 @@
 /// Runs many short jobs in a cell that keeps finished jobs for one second.
 void finishJobs(simulated_cell &cell)
 {
-    startForgetfulCell(cell);
+    startWithShortRetention(cell);
     for (std::uint64_t number = 1; number <= jobs; ++number) {
         submitJob(cell, number % cell.daemons.size(), makeJobKey(number), makeOneStepJob(1, 1, "50"));
         runFor(cell, 10);
@@ -70,7 +70,7 @@
 {
     // Otherwise cancels of unknown jobs would fill the store.
     simulated_cell cell({});
-    startForgetfulCell(cell);
+    startWithShortRetention(cell);
     const std::size_t leader = *leaderOf(cell);
     const std::size_t other = (leader + 1) % cell.daemons.size();
     bool answered = false;
