Drain: a red case for a request that arrives as the drain ends

Seen, in the simulated cell: the daemon sets `finished` while a request waits in the queue of the control thread. The process then waits 200 ms for a response that nobody will give, and ends. The users report one whole request without an answer under planned work; whether it is this fault is not shown.

--- a/test/error/cell_failures.cpp
+++ b/test/error/cell_failures.cpp
@@ -1048,3 +1048,26 @@
     CHECK(cell->jobs[makeJobKey(1)].starts == 2);
     CHECK(cell->violations.empty());
 }
+
+TEST_CASE("a daemon that has drained does not end before a request that waits for the control thread is handled")
+{
+    // The request would get neither an answer nor a refusal: the process waits for its response, which never comes, and
+    // ends.
+    simulated_cell cell({});
+    runFor(cell, 2000);
+    const std::size_t number = (*leaderOf(cell) + 1) % cell.daemons.size();
+    cell_context &context = *cell.daemons[number]->context;
+    cell_daemon &daemon = *cell.daemons[number]->daemon;
+    std::optional<bool> finishedBefore;
+    timer arrival;
+    arrival.fire = [&](const clock_reading &) {
+        postRequest(context.box, [&](const clock_reading &) { finishedBefore = daemon.finished; });
+    };
+    post(context.box, [&](const clock_reading &now) { drainCellDaemon(daemon, now); });
+    // Until after the last check before the end of the drain.
+    runFor(cell, context.settings.limits.drainTime.count() - 50);
+    // Just before the check that ends the drain, so that both timers fire in the same batch.
+    subscribe(context.timers, arrival, daemon.drainTimer.due - std::chrono::nanoseconds(1));
+    REQUIRE(runUntil(cell, 4000, [&] { return finishedBefore.has_value(); }));
+    CHECK_FALSE(*finishedBefore);
+}
