Drain: answer the requests that wait for the control thread

Callers saw: a request that a stopping daemon has received ends with its connection, without an answer or a refusal.

Cause: the check that ends the drain counted the requests that the control thread had taken, not those in its queue. Afterwards the control thread stopped, and the process waited 200 ms for responses that nobody would write.

Change: finishDrainIfIdle() also looks at the queue.

--- a/packages/process/cell_daemon.cpp
+++ b/packages/process/cell_daemon.cpp
@@ -206,10 +206,17 @@
     }
 }
 
+/// Returns whether callers' requests wait for the control thread. They are not among the open requests yet.
+bool hasQueuedRequest(mailbox &box)
+{
+    const std::lock_guard lock(box.mutex);
+    return box.requests > 0;
+}
+
 void finishDrainIfIdle(cell_daemon &daemon, const clock_reading &now)
 {
     const bool served = now.uptime >= daemon.drainSince + daemon.context.settings.limits.drainTime;
-    if (served && daemon.openRequests == 0) {
+    if (served && daemon.openRequests == 0 && !hasQueuedRequest(daemon.context.box)) {
         daemon.finished = true;
         return;
     }
--- a/test/correctness/caller_keys.cpp
+++ b/test/correctness/caller_keys.cpp
@@ -1,12 +1,9 @@
 // API keys on the callers' HTTP listener. Guards against a key that is lost between the header and the decision, also
 // on a connection that is already open, and against refusals with the wrong status.
-#include "../standins/free_port.h"
-#include "platform/caller_front.h"
+#include "../fixtures/running_front.h"
 
 #include <cpprest/http_client.h>
 
-#include <catch2/catch.hpp>
-
 using namespace sesamespar;
 using web::http::methods;
 
@@ -24,11 +21,6 @@
     return key.value == "good" ? caller_answer(job_status{}) : caller_answer(key_rejected{});
 }
 
-std::string freeAddress()
-{
-    return "127.0.0.1:" + std::to_string(standins::findFreePort("127.0.0.1"));
-}
-
 } // namespace
 
 TEST_CASE("each request is answered by its own key, also on an open connection")
@@ -38,19 +30,8 @@
         done(answerByKey(request.key));
         return true;
     };
-    platform::platform_settings settings;
-    // Another process may bind a free port first.
-    std::shared_ptr<platform::caller_front> front;
-    for (int attempt = 0; attempt < 5 && front == nullptr; ++attempt) {
-        settings.callersAt.value = freeAddress();
-        settings.readinessAt.value = freeAddress();
-        settings.metricsAt.value = freeAddress();
-        if (const auto started = platform::startCallerFront(settings, sinks)) {
-            front = started.value();
-        }
-    }
-    REQUIRE(front != nullptr);
-    web::http::client::http_client client("http://" + settings.callersAt.value);
+    const running_front running = startRunningFront(sinks);
+    web::http::client::http_client client(running.callersUrl);
     const std::vector<std::tuple<std::string, int, std::string>> expected = {
         {"good", 200, ""}, {"", 401, ""}, {"bad", 401, ""}, {"above limit", 429, "60"}, {"store lost", 503, "2"}};
     for (const auto &method : {methods::POST, methods::GET, methods::DEL}) {
