Own interface: answer the requests that are queued when the daemon ends

Cause: runControlLoop() stopped taking events as soon as the daemon was ready to end, and then waited for the answers to requests that could still be in its queue.

Change: the loop continues to handle events while it waits.

--- a/packages/process/control_loop.cpp
+++ b/packages/process/control_loop.cpp
@@ -100,11 +100,23 @@
     }
 }
 
-void waitForLastAnswers(control_queue &queue, const traffic &outside, time_point limit)
+void handleBatch(dispatcher &dispatch, const std::vector<control_event> &batch)
 {
-    while (openRequests(*outside.frontEnd) > 0 && std::chrono::steady_clock::now() < limit) {
-        std::unique_lock<std::mutex> lock(queue.mutex);
-        queue.arrived.wait_for(lock, flushCheck);
+    outbox out;
+    runBatch(dispatch.state, batch, out);
+    for (effect &requested : out) {
+        std::visit(dispatch, requested);
+    }
+}
+
+/// Handles events until all answers are written or the limit has passed. Requests that the front end received before it
+/// refused others can still be in the queue.
+void serveLastRequests(dispatcher &dispatch, time_point limit)
+{
+    time_point now = std::chrono::steady_clock::now();
+    while (openRequests(*dispatch.outside.frontEnd) > 0 && now < limit) {
+        handleBatch(dispatch, takeBatch(dispatch.queue, now + flushCheck));
+        now = std::chrono::steady_clock::now();
     }
 }
 
@@ -127,14 +139,9 @@
 {
     dispatcher dispatch{state, queue, outside};
     while (!dispatch.ended) {
-        const std::vector<control_event> batch = takeBatch(queue, nextDue(state.timers));
-        outbox out;
-        runBatch(state, batch, out);
-        for (effect &requested : out) {
-            std::visit(dispatch, requested);
-        }
+        handleBatch(dispatch, takeBatch(queue, nextDue(state.timers)));
     }
-    waitForLastAnswers(queue, outside, std::chrono::steady_clock::now() + state.settings.timing.callTimeout);
+    serveLastRequests(dispatch, std::chrono::steady_clock::now() + state.settings.timing.callTimeout);
     log_event("shutdown_finished").with("open_requests", openRequests(*outside.frontEnd));
 }
 
--- a/test/correctness/graceful_stop.cpp
+++ b/test/correctness/graceful_stop.cpp
@@ -2,6 +2,7 @@
 // written completely to the caller's socket.
 #include "connection/codec.h"
 #include "connection/front_end.h"
+#include "process/control_loop.h"
 #include "raw_http.h"
 
 #include <catch2/catch.hpp>
@@ -129,3 +130,35 @@
     CHECK(answer.find("Retry-After: ") != std::string::npos);
     stopFrontEnd(*frontEnd);
 }
+
+TEST_CASE("requests in the queue of the control thread are handled before the process ends")
+{
+    // The daemon can decide to end while its queue holds a request. The caller would get no answer.
+    const daemon_settings settings = testSettings();
+    clock_reading started = readClocks();
+    started.monotonic -= std::chrono::minutes(1); // All timers are due in the first batch, in which the daemon ends.
+    const auto state = makeDaemon(settings, 1, started);
+    control_queue queue;
+    traffic outside;
+    outside.calls = makeOutgoingCalls(settings.store);
+    outside.frontEnd = startFrontEnd(settings, [&](front_end_request request) {
+                           return pushEvent(queue, std::move(request));
+                       }).value();
+    pushEvent(queue, shutdown_requested{});
+    constexpr std::size_t otherEvents = 2000; // More than one batch.
+    for (std::size_t count = 0; count < otherEvents; ++count) {
+        pushEvent(queue, peer_message{daemon_id("b"), incarnation_id(1), forward_answer{}});
+    }
+    raw_caller caller(boundAddress(*outside.frontEnd));
+    caller.send(makeRequest("GET", "/v1/dump", {}, testOperatorSecret));
+    REQUIRE(waitUntil([&] {
+        const std::lock_guard lock(queue.mutex);
+        return std::holds_alternative<front_end_request>(queue.events.back());
+    }));
+
+    runControlLoop(*state, queue, outside);
+    CHECK(openRequests(*outside.frontEnd) == 0);
+    stopOutgoingCalls(*outside.calls);
+    stopFrontEnd(*outside.frontEnd);
+    CHECK(statusOf(caller.readAnswer()) == 200);
+}
