Own interface: keep workers whose queued calls wait for a retry

Cause: flushDirtyWorkers() forgot a worker with queued writes and commands if a call of either kind was open, and trusted the end of that call to add it again. A call's end does so only for its own kind, and not at all after a failure, so a write or a start that waited for its retry was not sent until something else was queued for the worker.

Change: a worker stays in the set as long as something is queued for it.

--- a/packages/term/leader.cpp
+++ b/packages/term/leader.cpp
@@ -81,10 +81,9 @@
         }
         flushRecords(state, *target, now.monotonic, out);
         flushCommands(state, *target, now.monotonic, out);
-        // Queued writes and commands that wait for a call under way are sent when that call ends.
-        const bool waitsForRetry = hasQueued(*target) && slotOf(*target, worker_call_kind::Records).serial == 0
-            && slotOf(*target, worker_call_kind::Commands).serial == 0;
-        name = waitsForRetry ? std::next(name) : state.dirtyWorkers.erase(name);
+        // Writes and commands that wait for a retry are sent by a later pass. The end of a call of the other kind does
+        // not mark the worker again.
+        name = hasQueued(*target) ? std::next(name) : state.dirtyWorkers.erase(name);
     }
 }
 
--- a/test/fuzz/leader_model.cpp
+++ b/test/fuzz/leader_model.cpp
@@ -45,6 +45,7 @@
     Duplicate,
     RestartWorker,
     LeaveWorker,
+    Silence,
 };
 
 // One step of a case. The meaning of `a` and `b` depends on the kind.
@@ -70,7 +71,8 @@
                                "HealLinks",
                                "Duplicate",
                                "RestartWorker",
-                               "LeaveWorker"};
+                               "LeaveWorker",
+                               "Silence"};
     return stream << names.at(static_cast<std::size_t>(shown.kind)) << '(' << shown.a << ',' << shown.b << ')';
 }
 
@@ -109,6 +111,7 @@
     time_point due;
     time_point timeout;
     bool delivered = false;
+    bool silent = false; // Neither the request nor the reply arrives any more.
     bool ended = false; // The sender has received an outcome.
 };
 
@@ -365,11 +368,11 @@
 bool moveCall(world &model, pending_call &pending)
 {
     const link_state &link = model.links.at(pending.sender).at(pending.target);
-    const bool lost = link.cutRequests && !pending.delivered;
+    const bool lost = (link.cutRequests || pending.silent) && !pending.delivered;
     bool over = false;
     if (model.now >= pending.due && !link.hold && !lost) {
         std::optional<worker_reply> reply = apply(model, pending);
-        if (reply && !link.cutReplies) {
+        if (reply && !link.cutReplies && !pending.silent) {
             endCall(model, pending, std::move(*reply));
         }
         over = reply.has_value() && pending.ended;
@@ -503,6 +506,15 @@
     std::move(copies.begin(), copies.end(), std::back_inserter(model.calls));
 }
 
+// Silences the calls in flight to one worker or to all, as when open connections go silent. Later calls pass.
+void silenceCalls(world &model, int sender, std::optional<int> target)
+{
+    for (pending_call &pending : model.calls) {
+        const bool chosen = pending.sender == sender && (!target || pending.target == *target);
+        pending.silent = pending.silent || (chosen && !pending.ended);
+    }
+}
+
 void restartWorkerAt(world &model, int index)
 {
     worker_model &target = model.workers.at(index);
@@ -572,6 +584,9 @@
     case op_kind::Duplicate:
         duplicateCalls(model, daemon, milliseconds(20) * (1 + chosen.b * 2));
         break;
+    case op_kind::Silence:
+        silenceCalls(model, daemon, chosen.b % 3 == 0 ? std::optional(chosen.b / 3 % workerCount) : std::nullopt);
+        break;
     case op_kind::RestartWorker:
         restartWorkerAt(model, target);
         break;
@@ -591,13 +606,30 @@
     }
 }
 
+// Which daemon may lead while a case ends.
+enum class last_leader {
+    Second, // The second daemon, which often has to take over.
+    Current, // The daemon that leads, if any: a takeover would repair what its leader forgot.
+};
+
+int lastCandidate(const world &model, last_leader choice)
+{
+    int candidate = 1;
+    for (int index = 0; choice == last_leader::Current && index < daemonCount; ++index) {
+        const daemon_model &other = model.daemons.at(index);
+        candidate = other.candidate && other.state.phase == leader_phase::Leading ? index : candidate;
+    }
+    return candidate;
+}
+
 // Checks that, with all links healed and one candidate, some daemon leads and every accepted job has an outcome.
-void checkConvergence(world &model)
+void checkConvergence(world &model, last_leader choice)
 {
     healLinks(model);
+    const int candidate = lastCandidate(model, choice);
     for (int index = 0; index < daemonCount; ++index) {
         model.daemons.at(index).frozen = false;
-        model.daemons.at(index).candidate = index == 1;
+        model.daemons.at(index).candidate = index == candidate;
     }
     advance(model, milliseconds(30000));
     const auto leading = std::find_if(model.daemons.begin(), model.daemons.end(), [&](const daemon_model &other) {
@@ -630,7 +662,7 @@
     }
 }
 
-void runCase(const std::vector<op> &ops)
+void runCase(const std::vector<op> &ops, last_leader choice = last_leader::Second)
 {
     world model;
     startWorld(model);
@@ -639,7 +671,7 @@
         perform(model, chosen);
         checkAtMostOnce(model);
     }
-    checkConvergence(model);
+    checkConvergence(model, choice);
     checkAtMostOnce(model);
 }
 
@@ -681,3 +713,33 @@
                  {op_kind::Advance, 27, 0}});
     });
 }
+
+TEST_CASE("a write that waits for its retry is sent although another call to the worker was open")
+{
+    FLAGS_minloglevel = google::GLOG_FATAL;
+    rc::prop("minimized schedule", [] {
+        runCase({{op_kind::Submit, 0, 0},
+                 {op_kind::Advance, 18, 0},
+                 {op_kind::Advance, 8, 0},
+                 {op_kind::Advance, 4, 0},
+                 {op_kind::Advance, 12, 0},
+                 {op_kind::Submit, 0, 55},
+                 {op_kind::Advance, 17, 0},
+                 {op_kind::Cancel, 0, 23},
+                 {op_kind::Silence, 0, 1}},
+                last_leader::Current);
+    });
+}
+
+TEST_CASE("a start that waits for its retry is sent although another call to the worker was open")
+{
+    FLAGS_minloglevel = google::GLOG_FATAL;
+    rc::prop("minimized schedule", [] {
+        runCase({{op_kind::Submit, 0, 5},
+                 {op_kind::LeaveWorker, 0, 2},
+                 {op_kind::CutRequests, 0, 3},
+                 {op_kind::Submit, 0, 0},
+                 {op_kind::Advance, 16, 0}},
+                last_leader::Current);
+    });
+}
