--- a/packages/process/control_loop.h
+++ b/packages/process/control_loop.h
@@ -35,7 +35,8 @@
     std::shared_ptr<outgoing_calls> calls;
 };
 
-/// Runs until the daemon emits end_process, then waits until all answers are written, at most for the call timeout.
+/// Runs until the daemon emits end_process, then handles the requests that are still queued until all answers are
+/// written, at most for the call timeout.
 void runControlLoop(daemon_state &state, control_queue &queue, const traffic &outside);
 
 } // namespace sesamespar
