Cancels: one function commits both of their transactions

The withdrawal of a job that is not stored repeated the commit call of the cancellation and its handling of a failed call. commitCancel() has both now, in the shape of readKey(); the two reply handlers keep what differs. Behaviour is unchanged.

Checked: error/cell_failures, correctness/finished_jobs, fuzz/cell_model, error/resent_platform_call, correctness/caller_keys and correctness/last_requests pass, without a change to any test; the linter has no findings in the file.

--- a/packages/process/job_queries.cpp
+++ b/packages/process/job_queries.cpp
@@ -147,12 +147,30 @@
 
 void readBeforeCancel(const query_ptr &query);
 
-void onCancelReply(const query_ptr &query, const result<store_commit> &commit, const clock_reading &now)
+/// Commits a transaction of a cancel and passes the reply to `onReply` on the control thread, or reads the job again
+/// after a failure.
+void commitCancel(const query_ptr &query,
+                  const store_transaction &transaction,
+                  void (*onReply)(const query_ptr &, const store_commit &))
 {
-    if (!commit) {
-        query->mayBeCancelled = query->mayBeCancelled || mayHaveApplied(commit.error());
-        retryOrAnswer(query, commit.error(), readBeforeCancel, now);
-    } else if (commit.value().applied) {
+    query->context.store.commit(
+        transaction,
+        callLimit,
+        timedOnControlThread(query->context,
+                             cell_metrics::cancelTime,
+                             [query, onReply](const result<store_commit> &commit, const clock_reading &now) {
+                                 if (commit) {
+                                     onReply(query, commit.value());
+                                     return;
+                                 }
+                                 query->mayBeCancelled = query->mayBeCancelled || mayHaveApplied(commit.error());
+                                 retryOrAnswer(query, commit.error(), readBeforeCancel, now);
+                             }));
+}
+
+void onCancelReply(const query_ptr &query, const store_commit &commit)
+{
+    if (commit.applied) {
         finish(*query, job_cancelled{}, "cancelled");
     } else {
         // The job's key has changed since the read; the job may have become final.
@@ -160,23 +178,20 @@
     }
 }
 
-void onWithdrawReply(const query_ptr &query, const result<store_commit> &commit, const clock_reading &now)
+void onWithdrawReply(const query_ptr &query, const store_commit &commit)
 {
-    if (!commit) {
-        query->mayBeCancelled = query->mayBeCancelled || mayHaveApplied(commit.error());
-        retryOrAnswer(query, commit.error(), readBeforeCancel, now);
+    if (commit.applied) {
+        finish(*query, no_such_job{}, "withdrawn");
         return;
     }
-    const std::vector<store_item> &current = commit.value().current;
-    const bool stored =
-        !commit.value().applied && std::any_of(current.begin(), current.end(), [&](const store_item &item) {
-            return item.key == cell_keys::job(query->key) && item.revision.value != 0;
-        });
+    const bool stored = std::any_of(commit.current.begin(), commit.current.end(), [&](const store_item &item) {
+        return item.key == cell_keys::job(query->key) && item.revision.value != 0;
+    });
     if (stored) {
         readBeforeCancel(query);
     } else {
-        // Either withdrawn, now or earlier, or final: such jobs can no longer be cancelled.
-        finish(*query, no_such_job{}, commit.value().applied ? "withdrawn" : "no_such_job");
+        // Withdrawn earlier, or final: such jobs can no longer be cancelled.
+        finish(*query, no_such_job{}, "no_such_job");
     }
 }
 
@@ -193,14 +208,7 @@
     transaction.conditions.push_back({cell_keys::progress(query->key), store_revision(0)});
     transaction.writes.push_back({cell_keys::progress(query->key), encodeProgress(withdrawn), {}});
     transaction.writes.push_back({cell_keys::cancel(query->key), "{}", {}});
-    query->context.store.commit(
-        transaction,
-        callLimit,
-        timedOnControlThread(query->context,
-                             cell_metrics::cancelTime,
-                             [query](const result<store_commit> &commit, const clock_reading &now) {
-                                 onWithdrawReply(query, commit, now);
-                             }));
+    commitCancel(query, transaction, onWithdrawReply);
 }
 
 void onCancelRead(const query_ptr &query, const store_item &item)
@@ -212,14 +220,7 @@
     store_transaction transaction;
     transaction.conditions.push_back({item.key, item.revision});
     transaction.writes.push_back({cell_keys::cancel(query->key), "{}", {}});
-    query->context.store.commit(
-        transaction,
-        callLimit,
-        timedOnControlThread(query->context,
-                             cell_metrics::cancelTime,
-                             [query](const result<store_commit> &commit, const clock_reading &now) {
-                                 onCancelReply(query, commit, now);
-                             }));
+    commitCancel(query, transaction, onCancelReply);
 }
 
 void readBeforeCancel(const query_ptr &query)
