Executor messages: accept calls and reports without a connection

Change: the field stands at the end of its row and is 0 if it is missing. A poll through a daemon of the earlier version acknowledges nothing.

--- a/packages/connection/worker_call_codec.cpp
+++ b/packages/connection/worker_call_codec.cpp
@@ -81,6 +81,12 @@
         return &m_row[m_index++];
     }
 
+    /// Reads the connection at the end of a row; 0 if the row ends before, as those of earlier versions do.
+    connection_number trailingConnection()
+    {
+        return connection_number(m_valid && m_index < m_row.Size() ? number() : 0);
+    }
+
     bool valid() const
     {
         return m_valid;
@@ -148,7 +154,7 @@
         poll.seenEnds.value = row.number();
         poll.leaseUntil = row.optionalTime();
         poll.wait = row.optionalTime().value_or(milliseconds(0));
-        poll.listedOn.value = row.number();
+        poll.listedOn = row.trailingConnection();
         call.order = poll;
     } else if (kind == "stop") {
         stop_order order;
@@ -249,7 +255,6 @@
     writer.Int64(report.workerClock.count());
     writer.Int64(report.incarnation.value);
     writer.Bool(report.complete);
-    writer.Uint64(report.connection.value);
     writer.StartArray();
     for (const running_row &row : report.running) {
         writeRunning(writer, row);
@@ -260,6 +265,7 @@
         writeEnded(writer, row);
     }
     writer.EndArray();
+    writer.Uint64(report.connection.value);
 }
 
 void writeResult(json_writer &writer, const error &problem)
@@ -275,10 +281,10 @@
     report.workerClock = milliseconds(row.signedNumber());
     report.incarnation.value = row.signedNumber();
     report.complete = row.flag();
-    report.connection.value = row.number();
     const bool runningComplete = readRows(row, report.running, readRunning);
     const bool endedComplete = readRows(row, report.ended, readEnded);
     report.complete = report.complete && runningComplete && endedComplete;
+    report.connection = row.trailingConnection();
 }
 
 bool readOutcome(const rapidjson::Value &value, worker_call_outcome &outcome)
